metrics: text page, latency histograms, live state

Cause: the metrics address served counters as JSON only, no latencies, and counters of resends and results appeared first when they were first raised. Refused heads and bodies had no counter. An entry of the store that can't be read was logged at every list, several times a second.

--- a/internal/core/gateway/attempt.go
+++ b/internal/core/gateway/attempt.go
@@ -13,6 +13,9 @@
 	first := !r.began && r.runs == 0
 	r.began, r.beganAt = true, g.now
 	g.upstreams.Began(r.upstream, r.conn)
+	if first {
+		g.observe(TimeBegan, r)
+	}
 	if first && r.team != nil {
 		g.usage.counter.Add(g.trueTime(), r.team.Name)
 	}
@@ -45,6 +48,9 @@
 	case g.endedInMove(r, e):
 	case e.Result == ResultComplete, e.Result == ResultAborted:
 		g.suspects.cleared(r.req.Fingerprint)
+		if e.Result == ResultComplete {
+			g.observe(TimeComplete, r)
+		}
 		delete(g.requests, r.conn)
 	case e.Result.NotRun():
 		g.afterNotRun(r, e)
@@ -123,7 +129,7 @@
 	share := 1 / float64(max(len(g.members)+1, 1))
 	bounds := g.cfg.Bounds
 	if !g.budget(r.service).take(g.now, budgetUse*bounds.RetryRatio, budgetUse*bounds.RetrySlack*share) {
-		g.count(CountResend, "denied")
+		g.count(CountResend, resendDenied)
 		return false
 	}
 	g.count(CountResend, cause)
--- a/internal/core/gateway/budget.go
+++ b/internal/core/gateway/budget.go
@@ -41,14 +41,22 @@
 // take counts a resend if the ratio of the requests and the slack allow it.
 func (b *resendBudget) take(now time.Time, ratio, slack float64) bool {
 	b.advance(now)
-	requests, resends := 0, 0
-	for i := range budgetParts {
-		requests += b.requests[i]
-		resends += b.resends[i]
+	requests := 0
+	for _, n := range b.requests {
+		requests += n
 	}
-	if float64(resends+1) > ratio*float64(requests)+slack {
+	if float64(b.resent()+1) > ratio*float64(requests)+slack {
 		return false
 	}
 	b.resends[b.current%budgetParts]++
 	return true
 }
+
+// resent counts the resends in the window that ended with the last call.
+func (b *resendBudget) resent() int {
+	sum := 0
+	for _, n := range b.resends {
+		sum += n
+	}
+	return sum
+}
--- a/internal/core/gateway/effect.go
+++ b/internal/core/gateway/effect.go
@@ -124,6 +124,26 @@
 	CountMove    Counter = "gateway_moves"
 )
 
+// Observe adds a duration to the histogram of a route.
+type Observe struct {
+	Timing Timing
+	Route  string
+	Took   time.Duration
+}
+
+// Timing names a group of histograms.
+type Timing string
+
+// Groups of histograms, each counted from a request's arrival.
+const (
+	// TimeWaited ends when the request is first sent to an upstream.
+	TimeWaited Timing = "gateway_waited"
+	// TimeBegan ends when its answer first begins.
+	TimeBegan Timing = "gateway_began"
+	// TimeComplete ends when its answer is complete.
+	TimeComplete Timing = "gateway_complete"
+)
+
 // Log writes a log line about a request or about what the node believes.
 type Log struct {
 	Step string
@@ -153,6 +173,7 @@
 func (Register) effect()      {}
 func (ListUpstreams) effect() {}
 func (Count) effect()         {}
+func (Observe) effect()       {}
 func (Log) effect()           {}
 func (Drained) effect()       {}
 
@@ -182,6 +203,10 @@
 	ReasonLate Reason = "late"
 	// ReasonFailed: an upstream failed while it may have run.
 	ReasonFailed Reason = "failed"
+	// ReasonBadRequest: the caller broke the protocol or its body broke off.
+	ReasonBadRequest Reason = "bad_request"
+	// ReasonTooLarge: its body is longer than the configuration allows.
+	ReasonTooLarge Reason = "too_large"
 )
 
 // Reasons lists all reasons, so that each has a counter from the start.
@@ -189,6 +214,21 @@
 	return []Reason{
 		ReasonNoConfig, ReasonNoRoute, ReasonBadKey, ReasonQuota, ReasonNoUpstream,
 		ReasonOverload, ReasonStopping, ReasonNotRun, ReasonTimeout, ReasonSuspect,
-		ReasonLate, ReasonFailed,
+		ReasonLate, ReasonFailed, ReasonBadRequest, ReasonTooLarge,
+	}
+}
+
+// resendDenied is counted where the resend budget allowed none.
+const resendDenied = "denied"
+
+// ResendCauses lists what resends are counted under: the result before, or
+// that none was allowed.
+func ResendCauses() []string {
+	causes := []string{resendDenied}
+	for _, result := range Results() {
+		if result != ResultComplete && result != ResultAborted {
+			causes = append(causes, string(result))
+		}
 	}
+	return causes
 }
--- a/internal/core/gateway/event.go
+++ b/internal/core/gateway/event.go
@@ -87,6 +87,14 @@
 	ResultAborted Result = "aborted"
 )
 
+// Results lists all results, so that each has a counter from the start.
+func Results() []Result {
+	return []Result{
+		ResultComplete, ResultErrored, ResultFull, ResultMisdirected, ResultRefused,
+		ResultUnreachable, ResultBroken, ResultGarbled, ResultAborted,
+	}
+}
+
 // NotRun reports whether the result proves that the upstream did not and will
 // not run the request.
 func (r Result) NotRun() bool {
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -219,6 +219,11 @@
 	g.emit(Count{Counter: counter, Label: label})
 }
 
+// observe counts the time since the request's arrival.
+func (g *Gateway) observe(timing Timing, r *request) {
+	g.emit(Observe{Timing: timing, Route: r.route.Name, Took: g.now.Sub(r.arrived)})
+}
+
 func (g *Gateway) log(step, message string, inputs ...any) {
 	g.emit(Log{Step: step, Message: message, Inputs: inputs})
 }
--- a/internal/core/gateway/members.go
+++ b/internal/core/gateway/members.go
@@ -68,6 +68,17 @@
 	return !m.heardAt.IsZero() && g.now.Sub(m.heardAt) < silence*g.interval()
 }
 
+// heardCount counts this node and the members that it hears.
+func (g *Gateway) heardCount() int {
+	count := 1
+	for _, m := range g.members {
+		if g.heard(m) {
+			count++
+		}
+	}
+	return count
+}
+
 func (g *Gateway) sortedMembers() []*member {
 	list := make([]*member, 0, len(g.members))
 	for _, m := range g.members {
--- a/internal/core/gateway/quota.go
+++ b/internal/core/gateway/quota.go
@@ -53,13 +53,8 @@
 // lowDivisor-th part of the interval, on a tick. Where less is left, only as
 // many requests are admitted as are likely to fit for all nodes together.
 func (g *Gateway) unheard(q *teamQuota) float64 {
-	peers := 0
-	for _, m := range g.members {
-		if g.heard(m) {
-			peers++
-		}
-	}
-	rate := q.asked / askedMemory.Seconds() * float64(peers)
+	peers := float64(g.heardCount() - 1)
+	rate := q.asked / askedMemory.Seconds() * peers
 	return rate * (g.interval()/lowDivisor + TickInterval).Seconds()
 }
 
@@ -139,13 +134,7 @@
 // share returns the part of the quotas for which the nodes in contact answer:
 // each node that is silent may spend its own share.
 func (g *Gateway) share() float64 {
-	heard := 1
-	for _, m := range g.members {
-		if g.heard(m) {
-			heard++
-		}
-	}
-	return float64(heard) / float64(len(g.members)+1)
+	return float64(g.heardCount()) / float64(len(g.members)+1)
 }
 
 // peerSpent counts against a team's quota what a peer has spent since it last
--- a/internal/core/gateway/request.go
+++ b/internal/core/gateway/request.go
@@ -188,6 +188,9 @@
 	r.upstream = u.ID
 	r.began = false
 	r.placedAt = g.now
+	if r.attempt == 1 {
+		g.observe(TimeWaited, r)
+	}
 	prompt := r.req.Prompt
 	service, ok := g.table.Service(r.service)
 	engine := ok && service.Engine != nil
--- a/internal/core/quota/bucket.go
+++ b/internal/core/quota/bucket.go
@@ -39,6 +39,9 @@
 	return b.level
 }
 
+// Level returns what could be spent when the bucket was last filled.
+func (b *Bucket) Level() float64 { return b.level }
+
 // Spend takes out what has been spent, here or elsewhere; the level may go
 // below zero. A negative cost puts back what a request that did not run took.
 func (b *Bucket) Spend(cost float64) {
--- a/internal/run/gateway/execute.go
+++ b/internal/run/gateway/execute.go
@@ -19,6 +19,8 @@
 		r.peers.Send(e.Node, e.Address, e.Message)
 	case core.Count:
 		count(e)
+	case core.Observe:
+		latencies[e.Timing].Observe(e.Route, e.Took)
 	case core.Log:
 		r.writeLog(e)
 	case core.Drained:
--- a/internal/run/gateway/feed.go
+++ b/internal/run/gateway/feed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -22,6 +23,7 @@
 // follow keeps the node up to date with a feed.
 func (r *Runner) follow(f Feed) {
 	revision := int64(0)
+	told := ""
 	for r.ctx.Err() == nil {
 		changes, err := r.next(f, revision)
 		switch {
@@ -36,6 +38,7 @@
 			r.feedFailed(f, err)
 		default:
 			revision = changes.Revision
+			told = r.reportProblems(f, changes.Problems, told)
 			r.feedTold(f, changes)
 		}
 	}
@@ -98,14 +101,28 @@
 	if f.Main {
 		r.submit(core.StoreBack{})
 	}
-	for _, problem := range c.Problems {
-		r.log.Warn().Str("step", "feed").Str("feed", f.Name).Err(problem).Msg("entry can't be read")
-	}
 	for _, e := range c.Events {
 		r.submit(e)
 	}
 }
 
+// reportProblems logs the entries that can't be read unless they were told
+// last, since lists name them again and again. It returns what was told last.
+func (r *Runner) reportProblems(f Feed, problems []error, told string) string {
+	if len(problems) == 0 {
+		return told
+	}
+	texts := make([]string, 0, len(problems))
+	for _, problem := range problems {
+		texts = append(texts, problem.Error())
+	}
+	text := strings.Join(texts, "; ")
+	if text != told {
+		r.log.Warn().Str("step", "feed").Str("feed", f.Name).Strs("problems", texts).Msg("entries can't be read")
+	}
+	return text
+}
+
 func (r *Runner) feedFailed(f Feed, err error) {
 	if r.ctx.Err() != nil {
 		return
--- a/internal/run/gateway/handler.go
+++ b/internal/run/gateway/handler.go
@@ -63,7 +63,7 @@
 func (h *handler) read() bool {
 	request, err := h.runner.cfg.Protocol.DecodeRequest(h.r)
 	if err != nil {
-		h.refuseBad(http.StatusBadRequest, err)
+		h.refuseBad(http.StatusBadRequest, core.ReasonBadRequest, err)
 		return false
 	}
 	h.request = request
@@ -71,10 +71,10 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		h.refuseBad(http.StatusRequestEntityTooLarge, err)
+		h.refuseBad(http.StatusRequestEntityTooLarge, core.ReasonTooLarge, err)
 		return false
 	case err != nil:
-		h.refuseBad(http.StatusBadRequest, err)
+		h.refuseBad(http.StatusBadRequest, core.ReasonBadRequest, err)
 		return false
 	}
 	h.body = body
@@ -83,8 +83,9 @@
 }
 
 // refuseBad answers a request that breaks the protocol and closes the connection.
-func (h *handler) refuseBad(status int, err error) {
-	h.runner.log.Info().Str("step", "refuse").Str("request", h.request.ID).Int("status", status).Err(err).Msg("bad request")
+func (h *handler) refuseBad(status int, reason core.Reason, err error) {
+	count(core.Count{Counter: core.CountRefusal, Label: string(reason)})
+	h.runner.log.Info().Str("step", "refuse").Str("request", h.request.ID).Int("status", status).Err(err).Msg(string(reason))
 	h.w.Header().Set("Connection", "close")
 	http.Error(h.w, err.Error(), status)
 }
--- a/internal/run/gateway/metrics.go
+++ b/internal/run/gateway/metrics.go
@@ -2,8 +2,10 @@
 
 import (
 	"expvar"
+	"sync/atomic"
 
 	core "monsoonlanding/internal/core/gateway"
+	"monsoonlanding/internal/run/metrics"
 )
 
 // counters holds an expvar map for each group of counters.
@@ -17,6 +19,12 @@
 	for _, reason := range core.Reasons() {
 		maps[core.CountRefusal].Add(string(reason), 0)
 	}
+	for _, cause := range core.ResendCauses() {
+		maps[core.CountResend].Add(cause, 0)
+	}
+	for _, result := range core.Results() {
+		maps[core.CountResult].Add(string(result), 0)
+	}
 	return maps
 }
 
@@ -33,3 +41,37 @@
 
 // CountDroppedLines counts log lines that were dropped.
 func CountDroppedLines(lines int) { droppedLines.Add(int64(lines)) }
+
+// latencies holds the histograms of each timing by route.
+var latencies = newLatencies()
+
+func newLatencies() map[core.Timing]*metrics.Latencies {
+	all := make(map[core.Timing]*metrics.Latencies)
+	for _, timing := range []core.Timing{core.TimeWaited, core.TimeBegan, core.TimeComplete} {
+		all[timing] = metrics.NewLatencies()
+		expvar.Publish(string(timing), all[timing])
+	}
+	return all
+}
+
+// state shows what the node knows at the moment of the question.
+var state = newState()
+
+// liveState is the state of the process's node, once it runs.
+type liveState struct{ runner atomic.Pointer[Runner] }
+
+func newState() *liveState {
+	s := &liveState{}
+	expvar.Publish("gateway_state", expvar.Func(s.read))
+	return s
+}
+
+func (s *liveState) read() any {
+	r := s.runner.Load()
+	if r == nil {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core.State()
+}
--- a/internal/run/gateway/runner.go
+++ b/internal/run/gateway/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	stdlog "log"
 	"math/rand/v2"
 	"net"
@@ -18,6 +19,7 @@
 	core "monsoonlanding/internal/core/gateway"
 	"monsoonlanding/internal/core/peer"
 	"monsoonlanding/internal/run/clock"
+	"monsoonlanding/internal/run/metrics"
 	"monsoonlanding/internal/run/settings"
 	"monsoonlanding/internal/wire/http1"
 	"monsoonlanding/internal/wire/peerws"
@@ -156,7 +158,7 @@
 		{Handler: r.cfg.Protocol.Directory(r.directory), ReadHeaderTimeout: headerTimeout},
 		{Handler: r.cfg.Protocol.Readiness(r.ready), ReadHeaderTimeout: headerTimeout},
 		{Handler: mux, ReadHeaderTimeout: headerTimeout},
-		{Handler: http.DefaultServeMux, ReadHeaderTimeout: headerTimeout},
+		{Handler: metricsHandler(), ReadHeaderTimeout: headerTimeout},
 	}
 	errorLog := stdlog.New(r.log, "", 0)
 	for _, server := range r.servers {
@@ -165,6 +167,14 @@
 	return r.listen(s.Listen)
 }
 
+// metricsHandler serves the metrics as text, and as JSON.
+func metricsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(metrics.Path, metrics.Page())
+	mux.Handle("/debug/vars", expvar.Handler())
+	return mux
+}
+
 // listen opens the listeners of the servers, in their order.
 func (r *Runner) listen(at settings.GatewayListen) error {
 	for _, address := range []string{at.Caller, at.Directory, at.Ready, at.Peer, at.Metrics} {
@@ -196,6 +206,7 @@
 	}
 	r.group.Go(r.followNodes)
 	r.group.Go(r.sweep)
+	state.runner.Store(r)
 	r.log.Info().Str("step", "start").Str("callers", r.cfg.Settings.Listen.Caller).Str("zone", r.cfg.Settings.Zone).Msg("serving")
 	r.tick()
 	r.close()
