gateway: sample log lines of requests beyond 200 a second, tell of waiting

Cause: the volume of lines grew with the requests; only the buffer bounded it, which drops lines of failed requests as readily as of good ones. A request that waited left no line until it was placed or refused.

A line says that a request waits, in which rank, behind how many. Below that rate nothing changes but the new line.

Ruled out: sampling by line, which leaves stories with holes.

--- a/cmd/monsoonlanding/gateway.go
+++ b/cmd/monsoonlanding/gateway.go
@@ -87,6 +87,7 @@
 		Services: platform.Services(store, cloud),
 		Clock:    clock.NewBoot(),
 		Log:      log,
+		Lines:    out,
 	})
 	if err != nil {
 		return errors.Wrap(err, "start")
--- a/internal/core/gateway/effect.go
+++ b/internal/core/gateway/effect.go
@@ -147,7 +147,9 @@
 // Log writes a log line about a request or about what the node believes.
 type Log struct {
 	Step string
-	// Request is the submission's name, empty where none is concerned.
+	// Conn and Request name the request and the submission, zero and empty
+	// where none is concerned.
+	Conn    uint64
 	Request string
 	Peer    string
 	Message string
--- a/internal/core/gateway/queue.go
+++ b/internal/core/gateway/queue.go
@@ -65,6 +65,10 @@
 	}
 	line.Push(team.Item{Key: r.key(), Team: r.teamName(), Weight: 1, Deadline: r.until})
 	g.serve(q)
+	if g.requests[r.conn] == r && r.phase == phaseWaiting {
+		g.logRequest(r, "wait", "no upstream takes it now", "rank", r.rank(), "waiting", line.Len(),
+			"refuse_in_ms", r.refuseAt.Sub(g.now).Milliseconds())
+	}
 }
 
 func (g *Gateway) dequeue(r *request) {
--- a/internal/core/gateway/request.go
+++ b/internal/core/gateway/request.go
@@ -291,5 +291,5 @@
 		team = r.teamName()
 		inputs = append(inputs, "route", r.route.Name, "team", team)
 	}
-	g.emit(Log{Step: step, Request: r.req.ID, Message: message, Inputs: inputs})
+	g.emit(Log{Step: step, Conn: r.conn, Request: r.req.ID, Message: message, Inputs: inputs})
 }
--- a/internal/run/gateway/execute.go
+++ b/internal/run/gateway/execute.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"github.com/rs/zerolog"
+
 	core "monsoonlanding/internal/core/gateway"
 )
 
@@ -58,6 +60,8 @@
 // that can come before the handler looks.
 func (r *Runner) hand(conn uint64, e core.Effect) {
 	if h := r.handlers[conn]; h != nil {
+		_, dispatched := e.(core.Dispatch)
+		h.failed = h.failed || !dispatched
 		h.effects <- e
 	}
 }
@@ -132,7 +136,7 @@
 }
 
 func (r *Runner) writeLog(e core.Log) {
-	event := r.log.Info().Str("step", e.Step)
+	event := r.logger(e.Conn).Info().Str("step", e.Step)
 	if e.Request != "" {
 		event = event.Str("request", e.Request)
 	}
@@ -141,3 +145,11 @@
 	}
 	event.Fields(e.Inputs).Msg(e.Message)
 }
+
+// logger returns where lines about a request are written.
+func (r *Runner) logger(conn uint64) *zerolog.Logger {
+	if h := r.handlers[conn]; h != nil && h.held != nil {
+		return &h.held.log
+	}
+	return &r.log
+}
--- a/internal/run/gateway/handler.go
+++ b/internal/run/gateway/handler.go
@@ -28,6 +28,11 @@
 	control *http.ResponseController
 	request core.Request
 	body    []byte
+	// held keeps the request's log lines until it ends; nil if they are
+	// written at once.
+	held *heldLines
+	// failed says that the request was refused, cut or given an error.
+	failed bool
 	// stream is the state of a streamed answer over all attempts.
 	stream stream
 	// answer is an upstream's own error, kept until it is decided whether it
@@ -117,6 +122,9 @@
 	r.lastConn++
 	h.conn = r.lastConn
 	r.handlers[h.conn] = h
+	if !r.sampler.chosen(r.cfg.Clock.Now(), h.request.ID) {
+		h.held = newHeldLines(r.log)
+	}
 	if r.core.Stopping() {
 		h.w.Header().Set("Connection", "close")
 	}
@@ -126,8 +134,11 @@
 func (r *Runner) leave(h *handler, gone bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delete(r.handlers, h.conn)
 	r.reduce(core.Left{Conn: h.conn, Gone: gone})
+	delete(r.handlers, h.conn)
+	if h.held != nil {
+		r.release(h.held, gone || h.failed)
+	}
 }
 
 // serve carries out the decisions on the request until it has its answer. It
--- a/internal/run/gateway/metrics.go
+++ b/internal/run/gateway/metrics.go
@@ -42,6 +42,9 @@
 // CountDroppedLines counts log lines that were dropped.
 func CountDroppedLines(lines int) { droppedLines.Add(int64(lines)) }
 
+// unloggedRequests counts the requests that ended well without log lines.
+var unloggedRequests = expvar.NewInt("gateway_requests_unlogged")
+
 // latencies holds the histograms of each timing by route.
 var latencies = newLatencies()
 
--- a/internal/run/gateway/runner.go
+++ b/internal/run/gateway/runner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"expvar"
+	"io"
 	stdlog "log"
 	"math/rand/v2"
 	"net"
@@ -48,6 +49,8 @@
 	Services Services
 	Clock    clock.Clock
 	Log      zerolog.Logger
+	// Lines takes finished log lines, as Log writes them.
+	Lines io.Writer
 }
 
 // Runner runs one node.
@@ -62,6 +65,7 @@
 	core     *core.Gateway
 	handlers map[uint64]*handler
 	lastConn uint64
+	sampler  sampler
 	drained  chan struct{}
 	// cancelWatch gives up the present watch of the main feed.
 	cancelWatch atomic.Pointer[context.CancelCauseFunc]
