gateway, placement: wait at engines by the time left, keep some for short waits

Change: a request waits at an engine for what its goal leaves after its wait here and its own reading, 0.85 of the goal at most; while more urgent requests have had to wait of late, a third of the engines, the same for all nodes, is kept to short waits.

--- a/cmd/monsoonlanding/local.go
+++ b/cmd/monsoonlanding/local.go
@@ -68,7 +68,22 @@
 	} {
 		cmd.AddCommand(newExperimentRun(e.name, e.short, e.run))
 	}
-	cmd.AddCommand(newExperimentMoves())
+	cmd.AddCommand(newExperimentMoves(), newExperimentPlacement())
+	return cmd
+}
+
+func newExperimentPlacement() *cobra.Command {
+	var seeds int
+	cmd := &cobra.Command{
+		Use:     "placement",
+		Short:   "Ways of choosing an upstream on load patterns in virtual time, as CSV",
+		Example: "  monsoonlanding experiment placement --seeds 5 > placement.csv",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return experiment.WritePlacement(cmd.OutOrStdout(), experiment.Placement(seeds))
+		},
+	}
+	cmd.Flags().IntVar(&seeds, "seeds", 5, "runs of each pattern and way")
 	return cmd
 }
 
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -30,6 +30,8 @@
 	// Seeds are peer addresses to greet before the list of nodes is known.
 	Seeds  []string
 	Bounds Bounds
+	// Cost ranks the upstreams; nil is placement.LeastTime.
+	Cost placement.Cost
 }
 
 // Bounds are the limits that the operators set for the deployment.
@@ -85,6 +87,7 @@
 	queues   map[string]*serviceQueue
 	budgets  map[string]*resendBudget
 	suspects suspects
+	goals    goals
 
 	members map[string]*member
 	wanted  time.Time
@@ -108,17 +111,21 @@
 
 // New returns a node that knows nothing yet.
 func New(cfg Config, rng *rand.Rand) *Gateway {
+	if cfg.Cost == nil {
+		cfg.Cost = placement.LeastTime
+	}
 	return &Gateway{
 		cfg:       cfg,
 		rng:       rng,
 		table:     &route.Table{},
-		upstreams: placement.New(cfg.Node, cfg.Zone, rng),
+		upstreams: placement.New(cfg.Node, cfg.Zone, cfg.Cost, rng),
 		missing:   make(map[string]bool),
 		leaving:   make(map[string]time.Time),
 		requests:  make(map[uint64]*request),
 		queues:    make(map[string]*serviceQueue),
 		budgets:   make(map[string]*resendBudget),
 		suspects:  newSuspects(),
+		goals:     make(goals),
 		members:   make(map[string]*member),
 		quotas:    make(map[string]*teamQuota),
 		keeper:    duty.New(cfg.Node, cfg.Start, cfg.Bounds.LeaseTerm),
--- a/internal/core/gateway/queue.go
+++ b/internal/core/gateway/queue.go
@@ -66,11 +66,22 @@
 	line.Push(team.Item{Key: r.key(), Team: r.teamName(), Weight: 1, Deadline: r.until})
 	g.serve(q)
 	if g.requests[r.conn] == r && r.phase == phaseWaiting {
-		g.logRequest(r, "wait", "no upstream takes it now", "rank", r.rank(), "waiting", line.Len(),
-			"refuse_in_ms", r.refuseAt.Sub(g.now).Milliseconds())
+		g.waits(r, line.Len())
 	}
 }
 
+// waits notes that a request could not be dispatched at once.
+func (g *Gateway) waits(r *request, inLine int) {
+	if !g.now.Before(r.refuseAt) {
+		// An upstream turned it away after it had waited for long.
+		g.refuse(r, ReasonOverload, g.returnAfter(returnWait))
+		return
+	}
+	g.goals.waited(g.now, r)
+	g.logRequest(r, "wait", "no upstream takes it now", "rank", r.rank(), "waiting", inLine,
+		"refuse_in_ms", r.refuseAt.Sub(g.now).Milliseconds())
+}
+
 func (g *Gateway) dequeue(r *request) {
 	if q := g.queues[r.service]; q != nil {
 		q.line(r.rank()).Remove(r.teamName(), r.key())
--- a/internal/core/gateway/request.go
+++ b/internal/core/gateway/request.go
@@ -215,17 +215,13 @@
 		EngineWork: engine,
 	})
 	g.logRequest(r, "place", "dispatched", "upstream", u.ID, "attempt", r.attempt, "moved", from != (Memory{}),
-		"running", load.Running, "prefill", load.Prefill,
+		"running", load.Running, "prefill", load.Prefill, "input", r.req.Prompt.Input,
 		"waited_ms", g.now.Sub(r.arrived).Milliseconds(), "config", g.table.Version())
 }
 
 // leastUrgent is the greatest urgency number that engines take.
 const leastUrgent = 9
 
-// waitShare is the part of a route's goal that work placed before a request
-// at an engine may take.
-const waitShare = 0.7
-
 func (g *Gateway) query(r *request, service *route.Service) placement.Query {
 	q := placement.Query{Service: r.service, Exclude: r.exclude}
 	g.chooseVersion(&q)
@@ -235,7 +231,8 @@
 	q.Prompt = r.req.Prompt
 	q.Slots = service.Engine.Slots
 	q.MemoryTokens = service.Engine.MemoryTokens
-	q.MaxWait = time.Duration(waitShare * float64(r.route.Goal))
+	q.MaxWait = g.maxWait(r)
+	q.UrgentWait = g.urgentWait(r)
 	return q
 }
 
--- a/internal/core/placement/doc.go
+++ b/internal/core/placement/doc.go
@@ -18,7 +18,7 @@
 //
 // # Usage
 //
-//	s := placement.New("node-a", "zone-1", rng)
+//	s := placement.New("node-a", "zone-1", placement.LeastTime, rng)
 //	s.Put(u)
 //	u, ok := s.Pick(now, placement.Query{Service: "plans", Prompt: prompt})
 //	s.Started(now, u.ID, 7, prompt)
--- a/internal/core/placement/engine.go
+++ b/internal/core/placement/engine.go
@@ -13,6 +13,11 @@
 	TokenCost time.Duration
 }
 
+// ReadTime returns the time to read prompt tokens.
+func (s Speed) ReadTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / s.PrefillRate * float64(time.Second))
+}
+
 // DefaultSpeed is assumed of engines whose speed has not been learnt.
 var DefaultSpeed = Speed{PrefillRate: 60_000, SlotCost: 500 * time.Microsecond, TokenCost: 150 * time.Microsecond}
 
@@ -32,6 +37,9 @@
 	unlistedCost = time.Minute
 	// cacheMemory is how long a shared part is assumed to stay in the cache.
 	cacheMemory = 30 * time.Second
+	// shortDivisor is the part of the upstreams, as a divisor, that is kept for
+	// short waits while more urgent requests have to wait.
+	shortDivisor = 3
 	// memoryShare is the part of the KV cache that placed requests may fill.
 	memoryShare = 0.9
 )
--- a/internal/core/placement/set.go
+++ b/internal/core/placement/set.go
@@ -47,6 +47,10 @@
 	reportedAt time.Time
 	// unlisted says that the entry is missing from the list for the moment.
 	unlisted bool
+	// hash orders the upstreams alike at all nodes.
+	hash uint64
+	// placed counts the requests that this node has sent there.
+	placed int
 }
 
 // Set holds the upstreams of all services.
@@ -54,15 +58,17 @@
 	self    string
 	zone    string
 	rng     *rand.Rand
+	cost    Cost
 	members map[string]*member
 	// sorted holds the members by ID, so that the same events give the same
 	// choices.
 	sorted []*member
 }
 
-// New returns an empty set for the node and zone.
-func New(self, zone string, rng *rand.Rand) *Set {
-	return &Set{self: self, zone: zone, rng: rng, members: make(map[string]*member)}
+// New returns an empty set for the node and zone, which ranks upstreams by the
+// cost.
+func New(self, zone string, cost Cost, rng *rand.Rand) *Set {
+	return &Set{self: self, zone: zone, cost: cost, rng: rng, members: make(map[string]*member)}
 }
 
 // Put adds or replaces one upstream.
@@ -70,6 +76,7 @@
 	m := s.members[u.ID]
 	if m == nil || !m.Born.Equal(u.Born) {
 		m = &member{
+			hash:    xxhash.Sum64String(u.ID),
 			running: make(map[uint64]Work),
 			peers:   make(map[string]Placed),
 			parts:   make(map[string]time.Time),
@@ -136,6 +143,10 @@
 	// MaxWait rejects upstreams where more than this would be waited; zero
 	// is no bound.
 	MaxWait time.Duration
+	// UrgentWait is how long more urgent requests, of which some had to wait
+	// of late, can wait at an upstream; zero if there are none. On some
+	// upstreams this request waits no longer.
+	UrgentWait time.Duration
 }
 
 // Pick returns the upstream with the least cost among those with room.
@@ -155,15 +166,21 @@
 	var best *member
 	var least time.Duration
 	home := s.home(q)
+	short := s.shortBelow(q)
 	for _, m := range s.sorted {
 		if !m.eligible(now, q, ejected) || !m.hasRoom(now, q) {
 			continue
 		}
-		wait := m.wait(now, q)
-		if q.MaxWait > 0 && wait > q.MaxWait {
+		candidate := s.candidate(now, m, q, home)
+		limit := q.MaxWait
+		if m.hash < short {
+			limit = min(limit, q.UrgentWait)
+		}
+		if limit > 0 && candidate.Wait > limit {
 			continue
 		}
-		cost := wait + s.extra(now, m, q, home)
+		// A little chance among equals keeps nodes from choosing alike.
+		cost := s.cost(candidate) + time.Duration(s.rng.Int64N(int64(time.Millisecond)))
 		if best == nil || cost < least {
 			best, least = m, cost
 		}
@@ -171,6 +188,27 @@
 	return best
 }
 
+// shortBelow returns the hash below which upstreams are kept for short waits,
+// 0 if none is. Engines read prompts in the order of their arrival, so that a
+// burst of long prompts with a generous goal would else keep short ones out of
+// all of them. All nodes choose the same upstreams.
+func (s *Set) shortBelow(q Query) uint64 {
+	if q.UrgentWait == 0 {
+		return 0
+	}
+	var hashes []uint64
+	for _, m := range s.sorted {
+		if m.Service == q.Service && m.State == StateReady {
+			hashes = append(hashes, m.hash)
+		}
+	}
+	if len(hashes) == 0 {
+		return 0
+	}
+	slices.Sort(hashes)
+	return hashes[len(hashes)/shortDivisor]
+}
+
 // eligible reports whether the upstream may take the request at all.
 func (m *member) eligible(now time.Time, q Query, ejected bool) bool {
 	if m.Service != q.Service || m.State != StateReady {
@@ -242,31 +280,29 @@
 	if q.Slots == 0 {
 		return time.Duration(load.Running) * plainCost
 	}
-	prefill := time.Duration(float64(load.Prefill) / DefaultSpeed.PrefillRate * float64(time.Second))
-	return prefill + time.Duration(load.Running)*DefaultSpeed.SlotCost
+	return DefaultSpeed.ReadTime(load.Prefill) + time.Duration(load.Running)*DefaultSpeed.SlotCost
 }
 
-// extra returns the costs that are not waits: prompt parts read again, the
-// way to another zone, errors, and a little chance among equals.
-func (s *Set) extra(now time.Time, m *member, q Query, home string) time.Duration {
-	cost := time.Duration(m.errors * float64(errorCost))
-	cost += time.Duration(s.rng.Int64N(int64(time.Millisecond)))
-	if m.Zone != s.zone {
-		cost += otherZoneCost
-	}
-	if m.unlisted {
-		cost += unlistedCost
+// candidate describes an upstream that may take the request.
+func (s *Set) candidate(now time.Time, m *member, q Query, home string) Candidate {
+	c := Candidate{
+		Wait:      m.wait(now, q),
+		Running:   m.loadAt(now).Running,
+		Placed:    m.placed,
+		Errors:    m.errors,
+		OtherZone: m.Zone != s.zone,
+		Unlisted:  m.unlisted,
 	}
 	if q.Slots == 0 {
-		return cost
+		return c
 	}
 	shared := q.Prompt.SharedTokens()
 	kept := min(m.cached(now, q.Prompt), shared)
 	if m.ID == home {
 		kept = shared
 	}
-	reread := float64(shared-kept) / DefaultSpeed.PrefillRate
-	return cost + time.Duration(rereadWeight*reread*float64(time.Second))
+	c.Reread = DefaultSpeed.ReadTime(shared - kept)
+	return c
 }
 
 // home returns the upstream that all nodes prefer for the prompt's shared part.
@@ -293,6 +329,7 @@
 	if m == nil {
 		return
 	}
+	m.placed++
 	m.running[request] = Work{
 		Prefill: max(p.Input-m.cached(now, p), 0),
 		Memory:  p.Input + p.ExpectedOutput(),
--- a/internal/core/placement/set_test.go
+++ b/internal/core/placement/set_test.go
@@ -12,7 +12,7 @@
 var epoch = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
 
 func newSet(node string, n int) *Set {
-	s := New(node, "z", rand.New(rand.NewPCG(1, 2)))
+	s := New(node, "z", LeastTime, rand.New(rand.NewPCG(1, 2)))
 	for i := range n {
 		s.Put(Upstream{ID: fmt.Sprint("u", i), Service: "s", Zone: "z", Slots: 6, State: StateReady})
 	}
