fleet, duty: keep the fleet found, fill reclaimed zones, leave a lease in doubt

Its 60 engines appear one after the other before callers come; the planner took the first 14 for the fleet and let the others go. The node with the lease was then cut off from the store for twelve seconds but told its peers that it held the lease, so that nobody ordered more. When all four zones had been reclaimed, the reclaimable upstreams that were wanted but not to be had took the room of on-demand ones, and orders given just before a reclaim were waited for.

Ruled out: too few slots or memory (engines were short, not full); a limit of the platform on what was ordered before: an order of 3 beside 28 reclaimed ones in a zone of 30 was taken.

Change: what appears without an order counts as found until load is seen, and as needed until the load has been watched for 10 s; in a reclaimed zone only reclaimable upstreams that are there count against the room; orders from before a reclaim are forgotten; a holder whose write has no answer for 1 s claims nothing (each a test that failed first), and nodes seek the lease in steps of 1 s. Routes rank the requests of teams of one priority, which were served in the order of their arrival (test).

--- a/internal/core/duty/lease.go
+++ b/internal/core/duty/lease.go
@@ -58,6 +58,9 @@
 	actMargin = 500 * time.Millisecond
 	// retryInterval is the time between two calls to a failing store.
 	retryInterval = 500 * time.Millisecond
+	// doubtMax is how long a holder that writes without an answer still claims
+	// the lease; an answer of a store in order takes milliseconds.
+	doubtMax = time.Second
 )
 
 // Keeper takes, keeps and gives up the lease for one process.
@@ -97,6 +100,16 @@
 // it has to be renewed before the next call.
 func (k *Keeper) Held() bool { return k.held }
 
+// Claims reports whether other nodes are to leave the lease to this one: it is
+// held, and no write of it has been without an answer for doubtMax.
+func (k *Keeper) Claims(now time.Time) bool {
+	if !k.held {
+		return false
+	}
+	open := k.doubt || k.pending != nil
+	return !open || now.Sub(k.pendingAt) <= doubtMax
+}
+
 // Token returns the token of the lease as known last.
 func (k *Keeper) Token() int64 { return k.known.Lease.Token }
 
--- a/internal/core/duty/lease_test.go
+++ b/internal/core/duty/lease_test.go
@@ -204,3 +204,24 @@
 	}
 	c.Assert(len(k.counts) <= windowsKept, qt.IsTrue)
 }
+
+// TestHolderInDoubtMakesNoClaim replays a holder that is cut off from the store
+// but not from its peers: it must not keep them from taking the lease over.
+func TestHolderInDoubtMakesNoClaim(t *testing.T) {
+	c := qt.New(t)
+	s := &store{}
+	k := New("a", 1, term)
+	now, ok := s.seek(k, epoch, 3*time.Second)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(k.Claims(now.Add(time.Minute)), qt.IsTrue)
+	now = now.Add(retryInterval)
+	_, ok = k.Renew(now, nil)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(k.Claims(now.Add(doubtMax)), qt.IsTrue)
+	c.Assert(k.Claims(now.Add(doubtMax+time.Millisecond)), qt.IsFalse)
+	now = now.Add(2 * time.Second)
+	k.Written(now, ResultUnknown, Stored{})
+	c.Assert(k.Claims(now), qt.IsFalse)
+	k.Read(now, ResultOK, s.stored)
+	c.Assert(k.Claims(now), qt.IsTrue)
+}
--- a/internal/core/fleet/plan.go
+++ b/internal/core/fleet/plan.go
@@ -38,9 +38,6 @@
 	// shrinkWait is how long a surplus of on-demand upstreams lasts before it
 	// is given up; they are dear.
 	shrinkWait = 1500 * time.Millisecond
-	// needMemory is how long the greatest need of late holds; load swings
-	// within tens of seconds, and reclaimable upstreams are cheap.
-	needMemory = 30 * time.Second
 )
 
 // Planner plans the fleet of one service.
@@ -50,9 +47,7 @@
 	zones   []string
 	orders  map[subject]*ordered
 	waiting bool
-	// needed is the greatest need since neededAt, or the present one.
-	needed   int
-	neededAt time.Time
+	need    need
 	// dryAt is when a zone was last seen without reclaimable upstreams to be had.
 	dryAt map[string]time.Time
 	// surplusAt is when more on-demand upstreams than needed were first seen.
@@ -106,10 +101,15 @@
 func (p *Planner) SetScaling(scaling route.Scaling) { p.scaling = scaling }
 
 // noteReclaims notes the zones whose reclaimable upstreams are taken away.
+// What was ordered there before is not to be waited for.
 func (p *Planner) noteReclaims(now time.Time, v View) {
 	for _, u := range v.Upstreams {
-		if u.Service == p.service && u.Reclaimable && u.State == placement.StateDraining && !u.Leaves.IsZero() {
-			p.dryAt[u.Zone] = now
+		if u.Service != p.service || !u.Reclaimable || u.State != placement.StateDraining || u.Leaves.IsZero() {
+			continue
+		}
+		p.dryAt[u.Zone] = now
+		if o := p.orders[subject{zone: u.Zone, reclaimable: true}]; o != nil {
+			o.known = false
 		}
 	}
 }
@@ -144,6 +144,7 @@
 	}
 	alive := p.count(v)
 	p.noteReclaims(now, v)
+	p.need.find(now, alive)
 	wanted := p.plan(now, v.Work, alive)
 	for _, s := range p.subjects() {
 		if v.Keep && wanted[s] < p.pending(now, s, alive[s]) {
@@ -167,22 +168,9 @@
 	return list
 }
 
-// need returns the upstreams that the work of late takes with room for bursts.
-// At first nothing is known of the load, so what is there is taken as needed.
-func (p *Planner) need(now time.Time, work float64, alive counts) int {
-	need := max(int(math.Ceil(work/targetUse)), leastPerZone*(len(p.zones)-1), 1)
-	if p.neededAt.IsZero() {
-		need = max(need, (alive.total(true)+alive.total(false))*(len(p.zones)-1)/len(p.zones))
-	}
-	if need >= p.needed || now.Sub(p.neededAt) > needMemory {
-		p.needed, p.neededAt = need, now
-	}
-	return p.needed
-}
-
 // plan returns the number wanted of each subject.
 func (p *Planner) plan(now time.Time, work float64, alive counts) counts {
-	need := p.need(now, work, alive)
+	need := p.need.update(now, work, len(p.zones))
 	wanted := make(counts)
 	aim := 0
 	if p.scaling.ReclaimablePrice > 0 && p.scaling.ReclaimablePrice < 1 {
@@ -192,9 +180,14 @@
 	kept := missing
 	if !p.anyDry(now) {
 		// On-demand upstreams stay until the reclaimable ones have started.
-		kept = max(kept, min(need, aim)-alive.total(true))
+		level := min(need, aim)
+		if p.need.learnt(now) {
+			level = min(level, p.safe(work, alive))
+		}
+		kept = max(kept, level-alive.total(true))
 	}
 	p.planOnDemand(now, missing, kept, alive, wanted)
+	p.leaveRoom(now, alive, wanted)
 	return wanted
 }
 
@@ -206,13 +199,21 @@
 	if p.anyDry(now) {
 		counted -= alive.mostInZone()
 	}
-	full := max(int(math.Ceil(work/fullUse)), leastPerZone)
+	full := fullCount(work)
 	if p.scaling.ReclaimablePrice <= 0 {
 		full = need
 	}
 	return full - counted
 }
 
+// fullCount returns the upstreams that the work keeps in full use.
+func fullCount(work float64) int { return max(int(math.Ceil(work/fullUse)), leastPerZone) }
+
+// safe returns how many upstreams carry the work when a zone is reclaimed.
+func (p *Planner) safe(work float64, alive counts) int {
+	return max(fullCount(work)+alive.mostInZone(), leastPerZone*len(p.zones))
+}
+
 // planReclaimable spreads so many that the need is met without any one zone,
 // as far as the on-demand upstreams of a zone leave room. It returns how many
 // there are to be once these have made room.
@@ -253,7 +254,7 @@
 	surplus := current - max(kept, 0)
 	if surplus <= 0 {
 		p.surplusAt = time.Time{}
-		p.addOnDemand(missing-current, wanted)
+		p.addOnDemand(now, missing-current, alive, wanted)
 		return
 	}
 	if p.surplusAt.IsZero() {
@@ -271,12 +272,13 @@
 	}
 }
 
-func (p *Planner) addOnDemand(missing int, wanted counts) {
+// addOnDemand adds on-demand upstreams where there is room, to all zones in turn.
+func (p *Planner) addOnDemand(now time.Time, missing int, alive, wanted counts) {
 	for missing > 0 {
 		added := false
 		for _, zone := range p.zones {
 			s := subject{zone: zone}
-			room := p.scaling.Max - wanted[s] - wanted[subject{zone: zone, reclaimable: true}]
+			room := p.scaling.Max - wanted[s] - p.obtainable(now, zone, alive, wanted)
 			if room <= 0 || missing <= 0 {
 				continue
 			}
@@ -289,3 +291,24 @@
 		}
 	}
 }
+
+// obtainable returns how many reclaimable upstreams a zone will have: those
+// wanted, or those that are there while no more are to be had.
+func (p *Planner) obtainable(now time.Time, zone string, alive, wanted counts) int {
+	s := subject{zone: zone, reclaimable: true}
+	if p.dry(now, zone) {
+		return min(wanted[s], p.pending(now, s, alive[s]))
+	}
+	return wanted[s]
+}
+
+// leaveRoom wants no more reclaimable upstreams than a zone's limit leaves
+// beside the on-demand ones.
+func (p *Planner) leaveRoom(now time.Time, alive, wanted counts) {
+	for _, zone := range p.zones {
+		s, other := subject{zone: zone, reclaimable: true}, subject{zone: zone}
+		onDemand := max(wanted[other], p.pending(now, other, alive[other]))
+		room := max(p.scaling.Max-onDemand, 0)
+		wanted[s] = max(min(wanted[s], room), p.obtainable(now, zone, alive, wanted))
+	}
+}
--- a/internal/core/fleet/plan_test.go
+++ b/internal/core/fleet/plan_test.go
@@ -29,12 +29,17 @@
 	list    []placement.Upstream
 	starts  map[string]time.Time
 	dry     bool
+	max     int
 	orders  []Order
 	next    int
 }
 
-func newCloud(onDemand int) *cloud {
-	c := &cloud{now: epoch, planner: New("s", scaling()), starts: make(map[string]time.Time)}
+func newCloud(onDemand int) *cloud { return newLargeCloud(onDemand, scaling().Max) }
+
+func newLargeCloud(onDemand, most int) *cloud {
+	s := scaling()
+	s.Max = most
+	c := &cloud{now: epoch, planner: New("s", s), starts: make(map[string]time.Time), max: most}
 	for _, zone := range []string{"a", "b", "c", "d"} {
 		c.add(zone, false, onDemand, 0)
 	}
@@ -97,7 +102,7 @@
 	have := c.count(o.Zone, o.Reclaimable)
 	if o.Count > have {
 		other := c.count(o.Zone, !o.Reclaimable)
-		if o.Reclaimable && c.dry || o.Count+other > scaling().Max {
+		if o.Reclaimable && c.dry || o.Count+other > c.max {
 			return Refused
 		}
 		c.add(o.Zone, o.Reclaimable, o.Count-have, startTime)
@@ -281,3 +286,48 @@
 		c.Assert(o.Reclaimable, qt.IsFalse)
 	}
 }
+
+// TestFleetFoundIsKeptUntilTheLoadIsKnown replays the start of a deployment
+// with 15 upstreams in each of four zones, which appear one after the other
+// before callers come: the fleet must not be cut down to the first ones seen.
+func TestFleetFoundIsKeptUntilTheLoadIsKnown(t *testing.T) {
+	c := qt.New(t)
+	cloud := newLargeCloud(3, 30)
+	for i := range 12 {
+		for _, zone := range []string{"a", "b", "c", "d"} {
+			cloud.add(zone, false, 1, time.Duration(i)*200*time.Millisecond)
+		}
+	}
+	cloud.run(14*time.Second, 0)
+	c.Assert(cloud.serving() >= 45, qt.IsTrue, qt.Commentf("%d before the load", cloud.serving()))
+	for range 50 {
+		cloud.run(100*time.Millisecond, 25)
+		c.Assert(cloud.serving() >= 45, qt.IsTrue, qt.Commentf("%d under load", cloud.serving()))
+	}
+	cloud.run(60*time.Second, 5)
+	c.Assert(cloud.serving() <= 24, qt.IsTrue, qt.Commentf("%d when the load is low", cloud.serving()))
+	c.Assert(cloud.onDemand(), qt.Equals, 0)
+}
+
+// TestOnDemandFillsReclaimedZones replays a day on which a large fleet loses
+// all four zones' reclaimable upstreams within 17 s at high load, and none are
+// to be had: what is wanted but can't be had leaves its room to on-demand ones.
+func TestOnDemandFillsReclaimedZones(t *testing.T) {
+	c := qt.New(t)
+	const work = 55
+	cloud := newLargeCloud(15, 30)
+	cloud.run(20*time.Second, work)
+	cloud.dry = true
+	for i, zone := range []string{"d", "c", "b", "a"} {
+		if i > 0 {
+			cloud.run(5*time.Second, work)
+		}
+		cloud.reclaim(zone, work)
+	}
+	cloud.run(startTime+2*time.Second, work)
+	c.Assert(cloud.serving() >= work, qt.IsTrue, qt.Commentf("%d serve", cloud.serving()))
+	cloud.dry = false
+	cloud.run(60*time.Second, work)
+	c.Assert(cloud.onDemand(), qt.Equals, 0)
+	c.Assert(cloud.serving() >= work, qt.IsTrue, qt.Commentf("%d serve", cloud.serving()))
+}
--- a/internal/core/gateway/duties.go
+++ b/internal/core/gateway/duties.go
@@ -15,9 +15,10 @@
 	// usageRetry is the time between two reports of a window that was not
 	// accepted.
 	usageRetry = time.Second
-	// secondSeeker is how long the nodes that are not first in order wait
-	// before they seek a lease that nobody seems to hold.
-	secondSeeker = 3 * time.Second
+	// seekStep is how long a node gives each node before it in order to take a
+	// lease that nobody seems to hold, seekLast all of them.
+	seekStep = time.Second
+	seekLast = 2 * time.Second
 	// windowsHeard is how many windows of peers' counts are kept.
 	windowsHeard = 12
 )
@@ -123,8 +124,7 @@
 	if g.usage.unheldAt.IsZero() {
 		g.usage.unheldAt = g.now
 	}
-	waited := g.now.Sub(g.usage.unheldAt)
-	if waited < silence*statusInterval || !g.firstAlive() && waited < secondSeeker {
+	if g.now.Sub(g.usage.unheldAt) < g.seekDelay() {
 		return
 	}
 	if step, ok := g.keeper.Seek(g.now); ok {
--- a/internal/core/gateway/members.go
+++ b/internal/core/gateway/members.go
@@ -197,7 +197,7 @@
 		Known:             g.someKnown(),
 		Rollouts:          g.tellRollouts(),
 	}
-	if g.keeper.Held() {
+	if g.keeper.Claims(g.now) {
 		s.LeaseToken = g.keeper.Token()
 	}
 	for id, p := range g.upstreams.Placements() {
@@ -394,15 +394,17 @@
 	return false
 }
 
-// firstAlive reports whether no node that was heard lately goes before this
-// one in the order in which nodes seek the lease.
-func (g *Gateway) firstAlive() bool {
+// seekDelay returns how long this node leaves a lease that nobody seems to
+// hold to the nodes that go before it, of which the first may not reach the
+// store.
+func (g *Gateway) seekDelay() time.Duration {
+	before := 0
 	for _, m := range g.members {
 		if g.heard(m) && m.status.Ready && m.node < g.cfg.Node {
-			return false
+			before++
 		}
 	}
-	return true
+	return silence*statusInterval + min(time.Duration(before)*seekStep, seekLast)
 }
 
 func (g *Gateway) leaseStep(step duty.Step) {
--- a/internal/core/gateway/request.go
+++ b/internal/core/gateway/request.go
@@ -46,12 +46,19 @@
 	sent bool
 }
 
-// rank returns the request's urgency; 0 is the highest.
-func (r *request) rank() int {
+// urgency returns what the request is worth to an upstream beside others; 0 is
+// the highest. A team's priority goes before the route's.
+func (r *request) urgency() int {
 	if r.team != nil && r.team.Ranked {
-		return r.team.Priority
+		return min(r.team.Priority, leastUrgent)
 	}
-	return r.route.Priority
+	return min(r.route.Priority, leastUrgent)
+}
+
+// rank orders waiting requests; 0 is the first. Those of one urgency are ranked
+// by their routes.
+func (r *request) rank() int {
+	return r.urgency()*(leastUrgent+1) + min(r.route.Priority, leastUrgent)
 }
 
 func (r *request) teamName() string {
@@ -208,7 +215,7 @@
 		Upstream:   u,
 		Team:       r.teamName(),
 		Until:      r.until,
-		Urgency:    min(r.rank(), leastUrgent),
+		Urgency:    r.urgency(),
 		From:       from,
 		Streaming:  r.route.Kind == route.KindStreaming,
 		Resumable:  r.route.Resumable,
--- a/internal/core/gateway/request_test.go
+++ b/internal/core/gateway/request_test.go
@@ -196,8 +196,18 @@
 // TestQueueServesUrgentRequestsFirst fills an engine whose backlog bars more,
 // lets a less and a more urgent request wait, and frees it.
 func TestQueueServesUrgentRequestsFirst(t *testing.T) {
-	b := newBench(t, "a")
+	queueServesUrgentRequestsFirst(newBench(t, "a"), false)
+}
+
+// TestRouteRanksWithinATeam: a team's priority goes before the routes', which
+// still rank the team's own requests.
+func TestRouteRanksWithinATeam(t *testing.T) {
+	queueServesUrgentRequestsFirst(newBench(t, "a"), true)
+}
+
+func queueServesUrgentRequestsFirst(b *bench, ranked bool) {
 	b.ready(up("m1", "model"))
+	b.g.table.Teams()[0].Ranked = ranked
 	long := placement.Prompt{Input: 60_000, Output: 10}
 	b.g.table.Teams()[0].Rate = 0
 	first, effects := b.submit(Request{Path: "/plan/1", Key: "k", Prompt: long})
--- a/internal/tool/emulator/run.go
+++ b/internal/tool/emulator/run.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -229,8 +230,9 @@
 	for _, u := range w.upstreams[:w.pattern.LoseEngines] {
 		u.lost = true
 	}
-	for conn, c := range w.callers {
-		if c.at != nil && c.at.lost && !c.done {
+	for _, conn := range w.open() {
+		c := w.callers[conn]
+		if c.at != nil && c.at.lost {
 			w.after(lostAfter, func() { w.ended(conn, c, gateway.ResultBroken) })
 		}
 	}
@@ -241,13 +243,24 @@
 	})
 }
 
+// open lists the connections of callers without an answer, in the order of
+// their submission.
+func (w *world) open() []uint64 {
+	var list []uint64
+	for conn, c := range w.callers {
+		if !c.done {
+			list = append(list, conn)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
 // restart starts all nodes anew; callers submit again what was cut.
 func (w *world) restart() {
 	w.startNodes(false)
-	for conn, c := range w.callers {
-		if c.done {
-			continue
-		}
+	for _, conn := range w.open() {
+		c := w.callers[conn]
 		delete(w.callers, conn)
 		if c.at != nil {
 			c.at.running--
--- a/internal/tool/emulator/run_test.go
+++ b/internal/tool/emulator/run_test.go
@@ -26,10 +26,14 @@
 
 // TestSameSeedSameReport: a finding can be played again.
 func TestSameSeedSameReport(t *testing.T) {
-	c := qt.New(t)
-	a, b := play(Steady()), play(Steady())
-	c.Assert(a.All(), qt.DeepEquals, b.All())
-	c.Assert(reflect.DeepEqual(a.Seconds, b.Seconds), qt.IsTrue)
+	for _, p := range []Pattern{Burst(), LostEngines(), Restart()} {
+		t.Run(p.Name, func(t *testing.T) {
+			c := qt.New(t)
+			a, b := play(p), play(p)
+			c.Assert(a.All(), qt.DeepEquals, b.All())
+			c.Assert(reflect.DeepEqual(a.Seconds, b.Seconds), qt.IsTrue)
+		})
+	}
 }
 
 // TestNothingIsRefusedWithRoom: what the engines carry is served in time.
