--- a/internal/core/gateway/duties.go
+++ b/internal/core/gateway/duties.go
@@ -213,3 +213,35 @@
 		g.emit(ForgetNode{Node: m.node})
 	}
 }
+
+// leaseHolderHeard reports whether another node that was heard lately says
+// that it holds the lease.
+func (g *Gateway) leaseHolderHeard() bool {
+	for _, m := range g.members {
+		if g.heard(m) && m.status.LeaseToken > 0 && m.status.LeaseToken >= g.keeper.Token() {
+			return true
+		}
+	}
+	return false
+}
+
+// seekDelay returns how long this node leaves a lease that nobody seems to
+// hold to the nodes that go before it, of which the first may not reach the
+// store.
+func (g *Gateway) seekDelay() time.Duration {
+	before := 0
+	for _, m := range g.members {
+		if g.heard(m) && m.status.Ready && m.node < g.cfg.Node {
+			before++
+		}
+	}
+	return silence*statusInterval + min(time.Duration(before)*seekStep, seekLast)
+}
+
+func (g *Gateway) leaseStep(step duty.Step) {
+	if step.Write == nil {
+		g.emit(ReadLease{})
+		return
+	}
+	g.emit(WriteLease{Lease: *step.Write, IfRevision: step.IfRevision})
+}
