placement: learn how fast the engines of a service read prompts

Cause: waits at engines, the price of shared parts and the fleet's work were reckoned with 60,000 tokens a second whatever the engines did.

--- a/internal/core/gateway/attempt.go
+++ b/internal/core/gateway/attempt.go
@@ -12,7 +12,7 @@
 	}
 	first := !r.began && r.runs == 0
 	r.began, r.beganAt = true, g.now
-	g.upstreams.Began(r.upstream, r.conn)
+	g.upstreams.Began(g.now, r.upstream, r.conn)
 	if first {
 		g.observe(TimeBegan, r)
 	}
--- a/internal/core/gateway/fleet.go
+++ b/internal/core/gateway/fleet.go
@@ -56,7 +56,7 @@
 		w = &workMeter{at: g.now}
 		g.work[r.service] = w
 	}
-	w.add(g.now, engineWork(r.req.Prompt))
+	w.add(g.now, engineWork(r.req.Prompt, g.upstreams.Speed(r.service)))
 }
 
 // workOf adds up the work that all nodes have for a service.
@@ -135,9 +135,7 @@
 const cachedShare = 0.7
 
 // engineWork returns the engine time that a prompt usually takes.
-func engineWork(p placement.Prompt) time.Duration {
+func engineWork(p placement.Prompt, speed placement.Speed) time.Duration {
 	missing := float64(p.Input) - cachedShare*float64(p.SharedTokens())
-	speed := placement.DefaultSpeed
-	prefill := time.Duration(missing / speed.PrefillRate * float64(time.Second))
-	return prefill + time.Duration(p.ExpectedOutput())*speed.TokenCost
+	return speed.ReadTime(int(missing)) + time.Duration(p.ExpectedOutput())*speed.TokenCost
 }
--- a/internal/core/gateway/request.go
+++ b/internal/core/gateway/request.go
@@ -207,7 +207,7 @@
 	load := g.upstreams.Load(u.ID)
 	g.upstreams.Started(g.now, u.ID, r.conn, prompt)
 	if from != (Memory{}) {
-		g.upstreams.Began(u.ID, r.conn)
+		g.upstreams.Moved(u.ID, r.conn)
 	}
 	g.emit(Dispatch{
 		Conn:       r.conn,
--- a/internal/core/gateway/wait.go
+++ b/internal/core/gateway/wait.go
@@ -1,10 +1,6 @@
 package gateway
 
-import (
-	"time"
-
-	"monsoonlanding/internal/core/placement"
-)
+import "time"
 
 const (
 	// waitShare is the part of a route's goal that work placed before a request
@@ -16,9 +12,6 @@
 	// leastWaitShare is the part that it may take though the request will be
 	// late: prompts that take longer to read than the goal are served as well.
 	leastWaitShare = 0.1
-	// firstTime is assumed between the last prompt token read and the first
-	// event at the caller.
-	firstTime = 50 * time.Millisecond
 	// goalMemory is how long a goal counts after a request with it had to wait.
 	goalMemory = time.Second
 )
@@ -28,8 +21,9 @@
 // time to read its own prompt.
 func (g *Gateway) maxWait(r *request) time.Duration {
 	goal := r.route.Goal
-	own := placement.DefaultSpeed.ReadTime(r.req.Prompt.Input)
-	left := goal - g.now.Sub(r.arrived) - own - firstTime
+	speed := g.upstreams.Speed(r.service)
+	own := speed.ReadTime(r.req.Prompt.Input)
+	left := goal - g.now.Sub(r.arrived) - own - speed.FirstTime
 	limit := min(time.Duration(waitShare*float64(goal)), left)
 	return max(limit, time.Duration(leastWaitShare*float64(goal)))
 }
--- a/internal/core/placement/doc.go
+++ b/internal/core/placement/doc.go
@@ -16,12 +16,18 @@
 // that the part is read once. Failures raise the cost, and several in a row
 // eject an upstream for a while.
 //
+// # Speed
+//
+// How fast the engines of a service read prompts is learnt from the times
+// between dispatches and first events, as engines of other deployments are
+// slower or faster than those at hand.
+//
 // # Usage
 //
 //	s := placement.New("node-a", "zone-1", placement.LeastTime, rng)
 //	s.Put(u)
 //	u, ok := s.Pick(now, placement.Query{Service: "plans", Prompt: prompt})
 //	s.Started(now, u.ID, 7, prompt)
-//	s.Began(u.ID, 7)
+//	s.Began(now, u.ID, 7)
 //	s.Ended(now, u.ID, 7, placement.Succeeded)
 package placement
--- a/internal/core/placement/engine.go
+++ b/internal/core/placement/engine.go
@@ -2,25 +2,6 @@
 
 import "time"
 
-// Speed is what the placement assumes of an engine.
-type Speed struct {
-	// PrefillRate is the prompt tokens read in a second.
-	PrefillRate float64
-	// SlotCost is how much each running request delays a new one's first
-	// token, through longer steps.
-	SlotCost time.Duration
-	// TokenCost is the engine time of a generated token in a usual batch.
-	TokenCost time.Duration
-}
-
-// ReadTime returns the time to read prompt tokens.
-func (s Speed) ReadTime(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / s.PrefillRate * float64(time.Second))
-}
-
-// DefaultSpeed is assumed of engines whose speed has not been learnt.
-var DefaultSpeed = Speed{PrefillRate: 60_000, SlotCost: 500 * time.Microsecond, TokenCost: 150 * time.Microsecond}
-
 const (
 	// plainCost is the assumed service time of a plain request, which each
 	// one running before it adds to the wait.
