--- a/internal/tool/explain/explain_test.go
+++ b/internal/tool/explain/explain_test.go
@@ -1,6 +1,9 @@
 package explain
 
 import (
+	"io"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -36,3 +39,47 @@
 	c.Assert(story.Print(&out), qt.IsNil)
 	c.Assert(out.String(), qt.Equals, "no line about request r9\n")
 }
+
+// TestStoriesOfADay reads excerpts of the logs that six nodes wrote on a day
+// with faults, with other names of VMs, teams and routes.
+func TestStoriesOfADay(t *testing.T) {
+	for _, s := range []struct {
+		name, request string
+		steps         []string
+		cause         string
+	}{
+		{"refused", "fa8bfd365fdc2afa", []string{"quota quota spent", "refuse quota"}, "cost=6031 left=-47639"},
+		{"late", "2412eca38ce48215", []string{"place dispatched", "begin answer began", "end complete"}, "input=55345"},
+		{"failed", "117fbcddbadd9c54", []string{
+			"place dispatched", "end unreachable", "place dispatched", "begin answer began", "end broken", "refuse failed",
+		}, "unexpected EOF"},
+	} {
+		t.Run(s.name, func(t *testing.T) {
+			c := qt.New(t)
+			story, err := Read(s.request, openLogs(c)...)
+			c.Assert(err, qt.IsNil)
+			var steps []string
+			for _, l := range story.Lines {
+				steps = append(steps, l.Step+" "+l.Message)
+			}
+			c.Assert(steps, qt.DeepEquals, s.steps)
+			var out strings.Builder
+			c.Assert(story.Print(&out), qt.IsNil)
+			c.Assert(out.String(), qt.Contains, s.cause)
+		})
+	}
+}
+
+func openLogs(c *qt.C) []io.Reader {
+	paths, err := filepath.Glob(filepath.Join("testdata", "*.log"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(len(paths) > 1, qt.IsTrue)
+	var logs []io.Reader
+	for _, path := range paths {
+		f, err := os.Open(path)
+		c.Assert(err, qt.IsNil)
+		c.Cleanup(func() { c.Check(f.Close(), qt.IsNil) })
+		logs = append(logs, f)
+	}
+	return logs
+}
