gateway: tell usage to its readers only

Over a quarter of a status is counts of usage, which only the holder of the lease reads.

Change: usage goes to who claims the lease and to the three nodes that would seek it first; to all while nobody claims it (test).

--- a/internal/core/gateway/duties.go
+++ b/internal/core/gateway/duties.go
@@ -19,6 +19,9 @@
 	// lease that nobody seems to hold, seekLast all of them.
 	seekStep = time.Second
 	seekLast = 2 * time.Second
+	// successors is how many nodes, the first in order, are told the usage beside
+	// the holder of the lease, as they seek it first.
+	successors = 3
 	// windowsHeard is how many windows of peers' counts are kept.
 	windowsHeard = 12
 )
@@ -238,6 +241,30 @@
 	return silence*statusInterval + min(time.Duration(before)*seekStep, seekLast)
 }
 
+// usageReaders returns the nodes that are told this node's usage: who claims the
+// lease and who would seek it first. It returns nil, for all nodes, while
+// nobody claims the lease.
+func (g *Gateway) usageReaders() map[string]bool {
+	readers := make(map[string]bool)
+	claimed := g.keeper.Claims(g.now)
+	first := 0
+	for _, m := range g.sortedMembers() {
+		if !g.heard(m) {
+			continue
+		}
+		holds := m.status.LeaseToken > 0
+		claimed = claimed || holds
+		if first < successors || holds {
+			readers[m.node] = true
+			first++
+		}
+	}
+	if !claimed {
+		return nil
+	}
+	return readers
+}
+
 func (g *Gateway) leaseStep(step duty.Step) {
 	if step.Write == nil {
 		g.emit(ReadLease{})
--- a/internal/core/gateway/duties_test.go
+++ b/internal/core/gateway/duties_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -50,3 +51,37 @@
 	b.Assert(told, qt.IsTrue)
 	b.Assert(token, qt.Equals, int64(0))
 }
+
+// TestUsageIsToldWhereItIsRead: counts of usage are over a quarter of a status, and among
+// sixty nodes only the holder of the lease and its successors read them.
+func TestUsageIsToldWhereItIsRead(t *testing.T) {
+	b := newBench(t, "m")
+	b.ready(up("d1", "desk"))
+	nodes := []string{"a", "b", "c", "d", "x", "y"}
+	told := func(holder string) []string {
+		var readers []string
+		for _, node := range nodes {
+			s := status(node)
+			if node == holder {
+				s.LeaseToken = 7
+			}
+			b.hear(s)
+		}
+		for _, e := range b.wait(time.Second) {
+			send, ok := e.(Send)
+			if !ok {
+				continue
+			}
+			if s, is := send.Message.(peer.Status); is && len(s.Usage) > 0 && !slices.Contains(readers, send.Node) {
+				readers = append(readers, send.Node)
+			}
+		}
+		slices.Sort(readers)
+		return readers
+	}
+	told("x")
+	_, effects := b.arrive("/book/1")
+	b.reduce(Began{Conn: 1, Attempt: b.dispatch(effects).Attempt})
+	b.Assert(told("x"), qt.DeepEquals, []string{"a", "b", "c", "x"})
+	b.Assert(told(""), qt.DeepEquals, nodes)
+}
--- a/internal/core/gateway/members.go
+++ b/internal/core/gateway/members.go
@@ -126,21 +126,37 @@
 			q.told = q.spent
 		}
 	}
-	var status peer.Status
-	built := false
+	var turns []*member
 	for _, m := range g.sortedMembers() {
-		if !urgent && !g.due(m) || !g.heard(m) && g.now.Sub(m.sentAt) < farInterval {
-			continue
-		}
-		if !built {
-			status, built = g.status(), true
+		if urgent || g.due(m) {
+			if g.heard(m) || g.now.Sub(m.sentAt) >= farInterval {
+				turns = append(turns, m)
+			}
 		}
-		m.sentAt = g.now.Add(-time.Duration(g.rng.Int64N(int64(g.interval() / statusSpread))))
-		g.emit(Send{Node: m.node, Address: m.address, Message: status})
+	}
+	if len(turns) > 0 {
+		g.tell(turns)
 	}
 	g.greetSeeds()
 }
 
+// tell sends a status to members. Counts of usage, over a quarter of it, go only to the
+// nodes that have a use for them.
+func (g *Gateway) tell(members []*member) {
+	status := g.status()
+	brief := status
+	brief.Usage = nil
+	readers := g.usageReaders()
+	for _, m := range members {
+		m.sentAt = g.now.Add(-time.Duration(g.rng.Int64N(int64(g.interval() / statusSpread))))
+		message := brief
+		if readers == nil || readers[m.node] {
+			message = status
+		}
+		g.emit(Send{Node: m.node, Address: m.address, Message: message})
+	}
+}
+
 // due reports whether it is the member's turn to get a status.
 func (g *Gateway) due(m *member) bool { return g.now.Sub(m.sentAt) >= g.interval() }
 
--- a/internal/run/gateway/status_bench_test.go
+++ b/internal/run/gateway/status_bench_test.go
@@ -47,17 +47,28 @@
 	}
 }
 
-// BenchmarkEncodeStatus measures what a status costs its sender once.
+// BenchmarkEncodeStatus measures what a status costs its sender once, with and
+// without the counts of usage that only some nodes are told.
 func BenchmarkEncodeStatus(b *testing.B) {
 	codec, err := peerws.NewCodec()
 	if err != nil {
 		b.Fatal(err)
 	}
-	s := busyStatus(1, time.Now())
-	for b.Loop() {
-		if _, err := codec.Encode(s); err != nil {
-			b.Fatal(err)
-		}
+	whole := busyStatus(1, time.Now())
+	brief := whole
+	brief.Usage = nil
+	for name, s := range map[string]peer.Status{"whole": whole, "brief": brief} {
+		b.Run(name, func(b *testing.B) {
+			size := 0
+			for b.Loop() {
+				frame, err := codec.Encode(s)
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(frame)
+			}
+			b.ReportMetric(float64(size), "bytes")
+		})
 	}
 }
 
