rollout: judge versions at their starts, take none without evidence

Ruled out: shares beyond what was decided (the new version had 5%); a missed order (all nodes had it within 0.1 s).

Change: an answer counts as late when it begins, or has not begun, after the goal or three times the usual time of its route, and as good when it begins well; six late ones can condemn instead of ten; the earliest known time of an order counts; no version is complete with fewer than 20 answers, and the share is 0.3 after the time given.

--- a/internal/core/gateway/attempt.go
+++ b/internal/core/gateway/attempt.go
@@ -13,6 +13,9 @@
 	first := !r.began && r.runs == 0
 	r.began, r.beganAt = true, g.now
 	g.upstreams.Began(g.now, r.upstream, r.conn)
+	if r.move == nil && !r.goesOn {
+		g.judgeStart(r)
+	}
 	if first {
 		g.observe(TimeBegan, r)
 	}
@@ -40,7 +43,7 @@
 	g.logRequest(r, "end", string(e.Result), "upstream", r.upstream, "attempt", r.attempt,
 		"age_ms", g.now.Sub(r.arrived).Milliseconds(), "detail", e.Detail)
 	if r.move == nil {
-		g.judgeVersion(r, e.Result)
+		g.judgeEnd(r, e.Result)
 	}
 	r.phase = phaseWaiting
 	r.sent = r.sent || e.Sent
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -97,7 +97,9 @@
 	fleets  map[string]*fleet.Planner
 	// rollouts holds the roll-outs by service.
 	rollouts map[string]*rolloutState
-	work     map[string]*workMeter
+	// usual holds the usual times to the beginning of answers, by route.
+	usual map[string]*usual
+	work  map[string]*workMeter
 
 	started time.Time
 	// urgentAt is when a status is due to all peers at once, zero if none is.
@@ -132,6 +134,7 @@
 		usage:     newUsage(cfg.Bounds.UsageWindow),
 		fleets:    make(map[string]*fleet.Planner),
 		rollouts:  make(map[string]*rolloutState),
+		usual:     make(map[string]*usual),
 		work:      make(map[string]*workMeter),
 	}
 }
--- a/internal/core/gateway/request.go
+++ b/internal/core/gateway/request.go
@@ -36,6 +36,9 @@
 	began    bool
 	beganAt  time.Time
 	placedAt time.Time
+	// goesOn says that the present attempt goes on from moved memory.
+	goesOn bool
+	judged judgement
 	// move is the transfer of the present attempt to another engine, if any.
 	move      *move
 	moveTries int
@@ -195,6 +198,7 @@
 	r.upstream = u.ID
 	r.began = false
 	r.placedAt = g.now
+	r.goesOn, r.judged = from != (Memory{}), judgedNot
 	if r.attempt == 1 {
 		g.observe(TimeWaited, r)
 	}
--- a/internal/core/gateway/rollouts.go
+++ b/internal/core/gateway/rollouts.go
@@ -80,32 +80,6 @@
 	q.NotVersion = r.order.Target
 }
 
-// judgeVersion counts an attempt's end as a sign of its upstream's version.
-func (g *Gateway) judgeVersion(r *request, result Result) {
-	state := g.rollouts[r.service]
-	u, ok := g.upstreams.Get(r.upstream)
-	if state == nil || !ok || !state.order.Open() || result.NotRun() || result == ResultAborted {
-		return
-	}
-	evidence := &state.older
-	if u.Version == state.order.Target {
-		evidence = &state.newer
-	}
-	switch {
-	case result != ResultComplete:
-		evidence.Failed++
-	case g.late(r):
-		evidence.Late++
-	default:
-		evidence.Good++
-	}
-}
-
-// late reports whether the present attempt's answer began after the goal.
-func (g *Gateway) late(r *request) bool {
-	return r.route.Goal > 0 && r.began && r.beganAt.Sub(r.placedAt) > r.route.Goal
-}
-
 // attendRollouts stops what is clearly bad and, as the lease holder, decides
 // on shares and verdicts.
 func (g *Gateway) attendRollouts() {
@@ -114,6 +88,7 @@
 		if !r.order.Open() {
 			continue
 		}
+		g.judgeSilent(service)
 		newer, older := g.rolloutEvidence(service, r)
 		if !r.stopped && rollout.Condemned(newer, older) {
 			r.stopped = true
@@ -191,16 +166,19 @@
 	g.rolloutOrdered(e.Order)
 }
 
-// meetRollout adds a roll-out that was not known here.
+// meetRollout adds a roll-out that was not known here, and learns since when it
+// stands, which the store does not tell.
 func (g *Gateway) meetRollout(told peer.RolloutStatus) {
 	known := g.rollouts[told.Service]
-	if known != nil && known.order.Revision >= told.Revision {
-		return
+	if known == nil || known.order.Revision < told.Revision {
+		g.rolloutOrdered(rollout.Order{
+			Service: told.Service, Target: told.Version, Within: told.Within, Revision: told.Revision,
+		})
 	}
-	g.rolloutOrdered(rollout.Order{
-		Service: told.Service, Target: told.Version, Within: told.Within, Revision: told.Revision,
-	})
 	r := g.rollouts[told.Service]
+	if r.order.Target != told.Version || r.order.Revision != told.Revision {
+		return
+	}
 	if seen := g.now.Add(-told.Elapsed); seen.Before(r.seen) {
 		r.seen = seen
 	}
--- a/internal/core/gateway/rollouts_test.go
+++ b/internal/core/gateway/rollouts_test.go
@@ -138,3 +138,87 @@
 	}
 	b.Assert(b.g.rollouts["desk"].seen, qt.Equals, b.now.Add(-2*time.Second))
 }
+
+// starts sends 20 requests a second, whose answers begin after the time that
+// their version takes and don't end. It returns the state written, if any.
+func (b *bench) starts(d time.Duration, takes func(version string) time.Duration) rollout.State {
+	type start struct {
+		conn    uint64
+		attempt int
+		at      time.Time
+	}
+	var waiting []start
+	for end := b.now.Add(d); b.now.Before(end); {
+		b.now = b.now.Add(50 * time.Millisecond)
+		conn, effects := b.arrive("/book/open/1")
+		sent := b.dispatch(effects)
+		waiting = append(waiting, start{conn, sent.Attempt, b.now.Add(takes(sent.Upstream.Version))})
+		for i := 0; i < len(waiting); i++ {
+			if w := waiting[i]; !b.now.Before(w.at) {
+				b.reduce(Began{Conn: w.conn, Attempt: w.attempt})
+				waiting = append(waiting[:i], waiting[i+1:]...)
+				i--
+			}
+		}
+		for _, e := range b.reduce(Tick{}) {
+			if w, ok := e.(WriteRollout); ok {
+				return w.Order.State
+			}
+		}
+	}
+	return ""
+}
+
+// TestSlowVersionIsNoticedAtItsStarts replays a version eight times slower than
+// the old one: most answers still began within the goal, and streams had not
+// ended when the verdict fell.
+func TestSlowVersionIsNoticedAtItsStarts(t *testing.T) {
+	for name, slow := range map[string]time.Duration{"slow": 640 * time.Millisecond, "silent": time.Hour} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, "a")
+			b.ready(versioned("d1", "v1"), versioned("d2", "v2"))
+			b.lead()
+			takes := func(version string) time.Duration {
+				if version == "v2" {
+					return slow
+				}
+				return 80 * time.Millisecond
+			}
+			b.starts(2*time.Second, takes)
+			b.order()
+			b.Assert(b.starts(12*time.Second, takes), qt.Equals, rollout.StateReverted)
+		})
+	}
+}
+
+// TestVersionThatStartsAlikeIsTaken: a little slower, as with empty caches, is
+// not bad.
+func TestVersionThatStartsAlikeIsTaken(t *testing.T) {
+	b := newBench(t, "a")
+	b.ready(versioned("d1", "v1"), versioned("d2", "v2"))
+	b.lead()
+	takes := func(version string) time.Duration {
+		if version == "v2" {
+			return 170 * time.Millisecond
+		}
+		return 80 * time.Millisecond
+	}
+	b.starts(2*time.Second, takes)
+	b.order()
+	b.Assert(b.starts(16*time.Second, takes), qt.Equals, rollout.StateComplete)
+}
+
+// TestTimeOfAnOrderIsHeardOfPeers replays restarts during a roll-out: a new
+// process reads the order from the store, but only its peers know since when it
+// stands; its verdict came seconds after the time given.
+func TestTimeOfAnOrderIsHeardOfPeers(t *testing.T) {
+	b := newBench(t, "a")
+	b.ready(versioned("d1", "v1"), versioned("d2", "v2"))
+	b.lead()
+	b.order()
+	s := status("b")
+	s.Rollouts = []peer.RolloutStatus{{Service: "desk", Version: "v2", Within: 12 * time.Second, Elapsed: 6 * time.Second, Revision: 3}}
+	b.hear(s)
+	_, _, state := b.traffic(6*time.Second, func() bool { return false })
+	b.Assert(state, qt.Equals, rollout.StateComplete)
+}
--- a/internal/core/rollout/doc.go
+++ b/internal/core/rollout/doc.go
@@ -13,7 +13,8 @@
 // Answers of the new version are compared with those of the old one in the
 // same time. Failures and late answers count as bad. A clear difference gives
 // the version up at any time; otherwise it is complete shortly before the time
-// is over.
+// is over. With too few answers no version is taken: restarted nodes lose their
+// counts, and a verdict that comes late does less harm than a bad version.
 //
 // # Usage
 //
--- a/internal/core/rollout/rollout.go
+++ b/internal/core/rollout/rollout.go
@@ -29,8 +29,9 @@
 // Evidence counts the answers of a version.
 type Evidence struct {
 	Good int64
-	// Failed and Late answers are told apart, as all versions are late when
-	// the service is short of upstreams, which hides failures in a sum.
+	// Failed and Late answers, which began late or far later than usual, are
+	// told apart, as all versions are late when the service is short of
+	// upstreams, which hides failures in a sum.
 	Failed, Late int64
 }
 
@@ -63,6 +64,11 @@
 	// trialShare is the new version's share until the end nears; a bad version
 	// may get a tenth of the requests in all.
 	trialShare = 0.05
+	// leastEvidence is the number of answers without which no version is taken.
+	leastEvidence = 20
+	// overdueShare is the new version's share when the time is over and too
+	// little is known of it.
+	overdueShare = 0.3
 	// switchTime before the end of the time given, all traffic goes over.
 	switchTime = 1800 * time.Millisecond
 	// verdictTime before its end the verdict is written.
@@ -73,7 +79,7 @@
 	// leastFailed and leastLate are the numbers of answers that can condemn a
 	// version.
 	leastFailed = 4
-	leastLate   = 10
+	leastLate   = 6
 	// failedMargin, lateMargin and factor say how much worse than the old one
 	// it has to be.
 	failedMargin = 0.05
@@ -87,7 +93,12 @@
 		return Step{Verdict: StateReverted}
 	}
 	left := v.Within - now.Sub(v.Ordered)
+	known := v.New.Total() >= leastEvidence
 	switch {
+	case !known && left <= 0:
+		return Step{Share: overdueShare}
+	case !known:
+		return Step{Share: trialShare}
 	case left <= verdictTime:
 		return Step{Share: 1, Verdict: StateComplete}
 	case left <= switchTime && exposed(v) < exposeShare:
--- a/internal/core/rollout/rollout_test.go
+++ b/internal/core/rollout/rollout_test.go
@@ -83,3 +83,21 @@
 	c := qt.New(t)
 	c.Assert(Condemned(Evidence{Good: 20, Late: 20}, Evidence{Good: 500, Late: 20}), qt.IsTrue)
 }
+
+// TestNothingIsCompleteWithoutEvidence replays restarts of all nodes, which lose
+// their counts, just before the time is over: a version that was bad was taken
+// on no answer at all.
+func TestNothingIsCompleteWithoutEvidence(t *testing.T) {
+	c := qt.New(t)
+	v := View{Ordered: epoch, Within: 12 * time.Second, Old: Evidence{Good: 300}}
+	step := Next(epoch.Add(11*time.Second), v)
+	c.Assert(step, qt.Equals, Step{Share: trialShare})
+	step = Next(epoch.Add(13*time.Second), v)
+	c.Assert(step, qt.Equals, Step{Share: overdueShare})
+	v.New.Good = leastEvidence
+	step = Next(epoch.Add(14*time.Second), v)
+	c.Assert(step.Verdict, qt.Equals, StateComplete)
+	v.New.Failed = leastEvidence
+	step = Next(epoch.Add(14*time.Second), v)
+	c.Assert(step.Verdict, qt.Equals, StateReverted)
+}
