--- a/internal/run/gateway/relay_bench_test.go
+++ b/internal/run/gateway/relay_bench_test.go
@@ -54,7 +54,7 @@
 // the upstreams at the addresses.
 func newTestRunner(addresses ...string) *Runner {
 	r, err := newRunner(Config{
-		Settings: settings.Gateway{Name: "a", Zone: "z", Bounds: settings.GatewayBounds{
+		Settings: settings.Gateway{Name: "a", Zone: "z", FirstStart: true, Bounds: settings.GatewayBounds{
 			RetryRatio: 0.2, RetrySlack: 54, RetryWindow: settings.Duration{Duration: 10 * time.Second}, QuotaWindow: settings.Duration{Duration: 8 * time.Second},
 			UsageWindow: settings.Duration{Duration: 5 * time.Second}, Lease: settings.Duration{Duration: 3 * time.Second},
 		}},
