--- a/internal/tool/emulator/caller.go
+++ b/internal/tool/emulator/caller.go
@@ -71,6 +71,9 @@
 	}
 }
 
+// hotPart names the subject that most requests of a kind are about.
+func hotPart(kind string) string { return kind + "/hot" }
+
 func tally(by map[string]*Tally, name string) *Tally {
 	if by[name] == nil {
 		by[name] = newTally()
--- a/internal/tool/emulator/pattern.go
+++ b/internal/tool/emulator/pattern.go
@@ -32,7 +32,8 @@
 	// HotSubject is the part of the requests of each kind that are about one
 	// subject, HotTeam the part that come from one team.
 	HotSubject, HotTeam float64
-	// Zones is how callers are spread; nil is evenly over all nodes.
+	// Node chooses a caller's node, given a number drawn from 0 to 1; nil is
+	// evenly over all nodes.
 	Node func(at time.Duration, draw float64, nodes int) int
 	// Repeats is how often callers repeat a refused request at once, without
 	// regard to when they were told to come back.
--- a/internal/tool/emulator/run.go
+++ b/internal/tool/emulator/run.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
 
 	"monsoonlanding/internal/core/gateway"
@@ -370,6 +369,3 @@
 	*s = (*s)[:len(*s)-1]
 	return last
 }
-
-// hotPart names the subject that most requests are about.
-func hotPart(kind string) string { return strings.Join([]string{kind, "hot"}, "/") }
