--- a/internal/core/gateway/rollouts_test.go
+++ b/internal/core/gateway/rollouts_test.go
@@ -169,24 +169,30 @@
 	return ""
 }
 
+// startsOf plays a roll-out whose old version takes 80 ms to begin and returns
+// the state written.
+func startsOf(t *testing.T, newer time.Duration, d time.Duration) rollout.State {
+	b := newBench(t, "a")
+	b.ready(versioned("d1", "v1"), versioned("d2", "v2"))
+	b.lead()
+	takes := func(version string) time.Duration {
+		if version == "v2" {
+			return newer
+		}
+		return 80 * time.Millisecond
+	}
+	b.starts(2*time.Second, takes)
+	b.order()
+	return b.starts(d, takes)
+}
+
 // TestSlowVersionIsNoticedAtItsStarts replays a version eight times slower than
 // the old one: most answers still began within the goal, and streams had not
 // ended when the verdict fell.
 func TestSlowVersionIsNoticedAtItsStarts(t *testing.T) {
 	for name, slow := range map[string]time.Duration{"slow": 640 * time.Millisecond, "silent": time.Hour} {
 		t.Run(name, func(t *testing.T) {
-			b := newBench(t, "a")
-			b.ready(versioned("d1", "v1"), versioned("d2", "v2"))
-			b.lead()
-			takes := func(version string) time.Duration {
-				if version == "v2" {
-					return slow
-				}
-				return 80 * time.Millisecond
-			}
-			b.starts(2*time.Second, takes)
-			b.order()
-			b.Assert(b.starts(12*time.Second, takes), qt.Equals, rollout.StateReverted)
+			qt.Assert(t, startsOf(t, slow, 12*time.Second), qt.Equals, rollout.StateReverted)
 		})
 	}
 }
@@ -194,18 +200,7 @@
 // TestVersionThatStartsAlikeIsTaken: a little slower, as with empty caches, is
 // not bad.
 func TestVersionThatStartsAlikeIsTaken(t *testing.T) {
-	b := newBench(t, "a")
-	b.ready(versioned("d1", "v1"), versioned("d2", "v2"))
-	b.lead()
-	takes := func(version string) time.Duration {
-		if version == "v2" {
-			return 170 * time.Millisecond
-		}
-		return 80 * time.Millisecond
-	}
-	b.starts(2*time.Second, takes)
-	b.order()
-	b.Assert(b.starts(16*time.Second, takes), qt.Equals, rollout.StateComplete)
+	qt.Assert(t, startsOf(t, 170*time.Millisecond, 16*time.Second), qt.Equals, rollout.StateComplete)
 }
 
 // TestTimeOfAnOrderIsHeardOfPeers replays restarts during a roll-out: a new
