--- a/internal/run/gateway/sample_test.go
+++ b/internal/run/gateway/sample_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -11,6 +12,8 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
+
+	core "monsoonlanding/internal/core/gateway"
 )
 
 func TestSamplerBoundsTheLoggedRequests(t *testing.T) {
@@ -71,3 +74,16 @@
 	defer r.mu.Unlock()
 	r.sampler = sampler{second: r.cfg.Clock.Now().Unix(), present: 1 << 62}
 }
+
+// BenchmarkLogLine measures a line about a request, written to nowhere.
+func BenchmarkLogLine(b *testing.B) {
+	r := newTestRunner()
+	r.log = zerolog.New(io.Discard).With().Timestamp().Str("node", "edge-zone-a-1").Logger()
+	line := core.Log{Step: "place", Request: "9c41d07be2a35f68", Message: "dispatched", Inputs: []any{
+		"upstream", "i-4ddf84e05f", "attempt", 1, "moved", false, "running", 6, "prefill", 592,
+		"input", 12000, "waited_ms", int64(3), "config", int64(7), "route", "plan", "team", "crew",
+	}}
+	for b.Loop() {
+		r.writeLog(line)
+	}
+}
