placement, gateway, emulator, dayplot: nothing reckoned twice, dead parts out

Found in reading the change: an upstream's load was summed three times for each choice (room, wait, requests there), once now; whether a member was heard stood twice with other intervals; the emulator kept histograms and dayplot a field that nothing read. Behaviour is as it was; the tests are untouched and pass.

--- a/internal/core/gateway/members.go
+++ b/internal/core/gateway/members.go
@@ -44,8 +44,11 @@
 }
 
 // heard reports whether the member has told its status lately.
-func (g *Gateway) heard(m *member) bool {
-	return !m.heardAt.IsZero() && g.now.Sub(m.heardAt) < silence*g.interval()
+func (g *Gateway) heard(m *member) bool { return g.heardWithin(m, silence) }
+
+// heardWithin reports whether it has within a number of intervals.
+func (g *Gateway) heardWithin(m *member, intervals int) bool {
+	return !m.heardAt.IsZero() && g.now.Sub(m.heardAt) < time.Duration(intervals)*g.interval()
 }
 
 // heardCount counts this node and the members that have told their status
@@ -53,7 +56,7 @@
 func (g *Gateway) heardCount(intervals int) int {
 	count := 1
 	for _, m := range g.members {
-		if !m.heardAt.IsZero() && g.now.Sub(m.heardAt) < time.Duration(intervals)*g.interval() {
+		if g.heardWithin(m, intervals) {
 			count++
 		}
 	}
@@ -140,8 +143,8 @@
 	g.greetSeeds()
 }
 
-// tell sends a status to members. Counts of usage, over a quarter of it, go only to the
-// nodes that have a use for them.
+// tell sends a status to members. Counts of usage, over a quarter of it, go
+// only to the nodes that have a use for them.
 func (g *Gateway) tell(members []*member) {
 	status := g.status()
 	brief := status
--- a/internal/core/placement/load.go
+++ b/internal/core/placement/load.go
@@ -52,8 +52,7 @@
 }
 
 // wait returns how long work that was placed before delays a request.
-func (m *member) wait(now time.Time, q Query, speed Speed) time.Duration {
-	load := m.loadAt(now)
+func (load Placed) wait(q Query, speed Speed) time.Duration {
 	if q.Slots == 0 {
 		return time.Duration(load.Running) * plainCost
 	}
--- a/internal/core/placement/pick.go
+++ b/internal/core/placement/pick.go
@@ -47,10 +47,14 @@
 	short := s.shortBelow(q)
 	speed := s.Speed(q.Service)
 	for _, m := range s.sorted {
-		if !m.eligible(now, q, ejected) || !m.hasRoom(now, q) {
+		if !m.eligible(now, q, ejected) {
 			continue
 		}
-		candidate := s.candidate(now, m, q, home, speed)
+		load := m.loadAt(now)
+		if !m.hasRoom(load, q) {
+			continue
+		}
+		candidate := s.candidate(now, m, load, q, home, speed)
 		limit := q.MaxWait
 		if m.hash < short {
 			limit = min(limit, q.UrgentWait)
@@ -103,8 +107,7 @@
 }
 
 // hasRoom reports whether the request fits beside what was placed there.
-func (m *member) hasRoom(now time.Time, q Query) bool {
-	load := m.loadAt(now)
+func (m *member) hasRoom(load Placed, q Query) bool {
 	if q.Slots == 0 {
 		return m.Slots == 0 || load.Running < 2*m.Slots
 	}
@@ -116,10 +119,10 @@
 }
 
 // candidate describes an upstream that may take the request.
-func (s *Set) candidate(now time.Time, m *member, q Query, home string, speed Speed) Candidate {
+func (s *Set) candidate(now time.Time, m *member, load Placed, q Query, home string, speed Speed) Candidate {
 	c := Candidate{
-		Wait:      m.wait(now, q, speed),
-		Running:   m.loadAt(now).Running,
+		Wait:      load.wait(q, speed),
+		Running:   load.Running,
 		Placed:    m.placed,
 		Errors:    m.errors,
 		OtherZone: m.Zone != s.zone,
--- a/internal/tool/dayplot/series.go
+++ b/internal/tool/dayplot/series.go
@@ -34,7 +34,7 @@
 type Day struct {
 	seconds map[int]*second
 	first   time.Time
-	// upstreams holds the second at which each upstream was first listed as
+	// ready and gone hold the second at which each upstream was first listed as
 	// ready, and left; all nodes tell of each.
 	ready, gone map[string]int
 }
@@ -53,7 +53,6 @@
 	AgeMS    int64     `json:"age_ms"`
 	Upstream string    `json:"upstream"`
 	State    string    `json:"state"`
-	Message  string    `json:"message"`
 }
 
 // Read collects a day from the logs of its nodes. Lines that are not JSON, or
--- a/internal/tool/emulator/caller.go
+++ b/internal/tool/emulator/caller.go
@@ -76,7 +76,7 @@
 
 func tally(by map[string]*Tally, name string) *Tally {
 	if by[name] == nil {
-		by[name] = newTally()
+		by[name] = &Tally{}
 	}
 	return by[name]
 }
@@ -166,8 +166,6 @@
 			t.Late++
 		}
 	}
-	// Latencies are below patience and the histogram's range.
-	_ = w.report.Kinds[c.kind.Route].First.RecordValue(took.Milliseconds())
 }
 
 // ended tells the node that an attempt is over.
--- a/internal/tool/emulator/report.go
+++ b/internal/tool/emulator/report.go
@@ -1,12 +1,6 @@
 package emulator
 
-import (
-	"time"
-
-	"github.com/HdrHistogram/hdrhistogram-go"
-
-	"monsoonlanding/internal/core/gateway"
-)
+import "monsoonlanding/internal/core/gateway"
 
 // Report is what callers and engines saw.
 type Report struct {
@@ -45,12 +39,6 @@
 	Callers, InTime, Late, Refused, Failed int
 	// Worth is that of an answer in time, where all are of one kind.
 	Worth float64
-	// First is the time to the first event, in milliseconds.
-	First *hdrhistogram.Histogram
-}
-
-func newTally() *Tally {
-	return &Tally{First: hdrhistogram.New(1, time.Minute.Milliseconds(), 2)}
 }
 
 // Share returns the part of the callers that were answered in time.
