gateway: framing of upstreams' answers and partial events in the end line and counters

The end line now has the framing of the answer and the bytes of a partial event; gateway_answers counts the framings. No decision changes.

--- a/internal/core/gateway/attempt.go
+++ b/internal/core/gateway/attempt.go
@@ -40,8 +40,12 @@
 		g.upstreams.RecordReport(g.now, r.upstream, e.Load.Running+e.Load.Waiting)
 	}
 	g.count(CountResult, string(e.Result))
+	if e.Framing != "" {
+		g.count(CountAnswer, string(e.Framing))
+	}
 	g.logRequest(r, "end", string(e.Result), "upstream", r.upstream, "attempt", r.attempt,
-		"age_ms", g.now.Sub(r.arrived).Milliseconds(), "detail", e.Detail)
+		"age_ms", g.now.Sub(r.arrived).Milliseconds(), "detail", e.Detail,
+		"framing", string(e.Framing), "partial", e.PartialBytes)
 	if r.move == nil {
 		g.countEnd(r, e.Result)
 	}
--- a/internal/core/gateway/effect.go
+++ b/internal/core/gateway/effect.go
@@ -127,6 +127,8 @@
 	CountResult  Counter = "gateway_results"
 	CountDuty    Counter = "gateway_duties"
 	CountMove    Counter = "gateway_moves"
+	// CountAnswer counts upstreams' answers by their framing.
+	CountAnswer Counter = "gateway_answers"
 )
 
 // Observe adds a duration to the histogram of a route.
--- a/internal/core/gateway/event.go
+++ b/internal/core/gateway/event.go
@@ -58,8 +58,27 @@
 	AnswerSent bool
 	// Load is the load that the upstream reported, nil if it reported none.
 	Load *Load
+	// Framing is the framing of the upstream's answer, empty without an answer.
+	Framing Framing
+	// PartialBytes is the size of the incomplete event with which a stream ended.
+	PartialBytes int
 }
 
+// Framing is how an upstream's answer marks its end.
+type Framing string
+
+// Framings of answers.
+const (
+	FramingLength Framing = "length"
+	FramingChunks Framing = "chunks"
+	// FramingClose: the answer ends with its connection. An orderly close does not
+	// prove that it is whole.
+	FramingClose Framing = "close"
+)
+
+// Framings lists all framings, so that each has a counter from the start.
+func Framings() []Framing { return []Framing{FramingLength, FramingChunks, FramingClose} }
+
 // Load is an upstream's own count of its running and waiting requests, with its
 // number of slots.
 type Load struct{ Running, Waiting, Slots int }
--- a/internal/run/gateway/attempt.go
+++ b/internal/run/gateway/attempt.go
@@ -61,7 +61,7 @@
 	}
 	defer answer.Close()
 	head := h.runner.cfg.Protocol.ClassifyHead(h.request.ID, answer.Status(), answer.Header())
-	ended := core.Ended{Result: head.Result, Detail: head.Detail, Load: head.Load}
+	ended := core.Ended{Result: head.Result, Detail: head.Detail, Load: head.Load, Framing: core.Framing(answer.Framing())}
 	switch {
 	case head.Result == core.ResultErrored:
 		err = h.bufferAnswer(answer)
@@ -79,8 +79,10 @@
 	default:
 		err = h.relayBuffered(answer, d)
 	}
+	ended.PartialBytes = h.stream.partialBytes
 	if err != nil {
-		return failedAttempt(err)
+		failed := failedAttempt(err)
+		ended.Result, ended.Detail, ended.Load = failed.Result, failed.Detail, nil
 	}
 	return ended
 }
--- a/internal/run/gateway/metrics.go
+++ b/internal/run/gateway/metrics.go
@@ -13,7 +13,7 @@
 
 func newCounters() map[core.Counter]*expvar.Map {
 	maps := make(map[core.Counter]*expvar.Map)
-	for _, c := range []core.Counter{core.CountRefusal, core.CountRetry, core.CountResult, core.CountDuty, core.CountMove} {
+	for _, c := range []core.Counter{core.CountRefusal, core.CountRetry, core.CountResult, core.CountDuty, core.CountMove, core.CountAnswer} {
 		maps[c] = expvar.NewMap(string(c))
 	}
 	for _, reason := range core.Reasons() {
@@ -25,6 +25,9 @@
 	for _, result := range core.Results() {
 		maps[core.CountResult].Add(string(result), 0)
 	}
+	for _, framing := range core.Framings() {
+		maps[core.CountAnswer].Add(string(framing), 0)
+	}
 	return maps
 }
 
--- a/internal/run/gateway/stream.go
+++ b/internal/run/gateway/stream.go
@@ -26,12 +26,15 @@
 	attemptBegan bool
 	// lastID is the ID of the last event relayed.
 	lastID string
+	// partialBytes is the size of the incomplete event with which the current
+	// attempt has ended.
+	partialBytes int
 }
 
 // relayEvents relays events as they arrive. It relays only complete events, so
 // that the stream can resume at another upstream after any of them.
 func (h *handler) relayEvents(answer *http1.Answer, d core.Dispatch) error {
-	h.stream.attemptBegan = false
+	h.stream.attemptBegan, h.stream.partialBytes = false, 0
 	var pending []byte
 	buffer := make([]byte, readBufferBytes)
 	for {
@@ -43,6 +46,9 @@
 			}
 			pending = append(pending[:0], pending[end:]...)
 		}
+		if err != nil {
+			h.stream.partialBytes = len(pending)
+		}
 		switch {
 		case err == io.EOF:
 			return h.endStream(answer, d, pending)
--- a/internal/wire/http1/answer.go
+++ b/internal/wire/http1/answer.go
@@ -8,6 +8,20 @@
 	"time"
 )
 
+// Framing is how an answer's head says where its body ends.
+type Framing string
+
+// Framings of answers.
+const (
+	// FramingLength: the head has the length, or the answer has no body.
+	FramingLength Framing = "length"
+	// FramingChunks: the body comes in chunks, and the last one is marked.
+	FramingChunks Framing = "chunks"
+	// FramingClose: the body ends with the connection. A body that was cut by an
+	// orderly close cannot be told from a whole one.
+	FramingClose Framing = "close"
+)
+
 // Answer is an upstream's answer. Its head has been read, its body has not.
 type Answer struct {
 	pool     *Pool
@@ -31,6 +45,18 @@
 // Header returns the headers.
 func (a *Answer) Header() http.Header { return a.response.Header }
 
+// Framing returns how the end of the body is marked.
+func (a *Answer) Framing() Framing {
+	switch {
+	case len(a.response.TransferEncoding) > 0:
+		return FramingChunks
+	case a.response.ContentLength >= 0 || a.response.Body == http.NoBody:
+		return FramingLength
+	default:
+		return FramingClose
+	}
+}
+
 // Read reads the body. It returns io.EOF at the end of a complete body.
 func (a *Answer) Read(b []byte) (int, error) {
 	n, err := a.response.Body.Read(b)
@@ -62,10 +88,7 @@
 	if a.failed || !a.complete || a.response.Close || a.conn.reader.Buffered() > 0 {
 		return false
 	}
-	if a.response.ContentLength < 0 && len(a.response.TransferEncoding) == 0 {
-		return false
-	}
-	return a.requestWritten()
+	return a.Framing() != FramingClose && a.requestWritten()
 }
 
 // requestWritten reports whether the complete request has been written.
