--- a/internal/run/gateway/relay_test.go
+++ b/internal/run/gateway/relay_test.go
@@ -26,9 +26,14 @@
 		addresses = append(addresses, strings.TrimPrefix(server.URL, "http://"))
 	}
 	r := newTestRunner(addresses...)
+	return serveNode(c, r), r
+}
+
+// serveNode serves callers by a runner.
+func serveNode(c *qt.C, r *Runner) *httptest.Server {
 	server := httptest.NewServer(http.HandlerFunc(r.serveCaller))
 	c.Cleanup(server.Close)
-	return server, r
+	return server
 }
 
 func get(c *qt.C, ctx context.Context, server *httptest.Server, path string) (*http.Response, error) {
