gateway: an answer that may have been cut is not framed as complete

Cause: the relay took every end of file of the body for the end of the answer. An answer without length or chunks ends with its connection, and a crashed engine closes it in order. The relay passed the bytes after the last event on, and net/http ended the caller's chunks or set a length. The class: the end of the transport stands for the whole of the message. It hides in three more places: a framed stream that ends inside an event; a stream that an engine closes because its run is being moved; a buffered answer, which was given a length.

Change: a stream that ends inside an event is broken, in any framing. A stream that is closed after an event ends as closed: the reducer ends the caller's answer the same way, without chunks, or resumes or aborts it where chunks are under way; with a move under way it continues at the target. An answer without a mark reaches its caller without one, and until it has ended here a close of the caller's connection is a reset, also when the process dies. HTTP/1.0 callers gain by the same. Answers of streaming routes that are no event streams are relayed as documents.

Tests' engines now name their content type.

--- a/internal/core/gateway/attempt.go
+++ b/internal/core/gateway/attempt.go
@@ -53,12 +53,13 @@
 	r.answerSent = r.answerSent || e.AnswerSent
 	switch {
 	case g.endedInMove(r, e):
-	case e.Result == ResultComplete, e.Result == ResultAborted:
+	case e.Result == ResultComplete:
+		g.completed(r)
+	case e.Result == ResultAborted:
 		g.suspects.clear(r.req.Fingerprint)
-		if e.Result == ResultComplete {
-			g.observe(TimeComplete, r)
-		}
 		delete(g.requests, r.conn)
+	case e.Result == ResultClosed:
+		g.afterClosed(r, e)
 	case e.Result.NotRun():
 		g.afterNotRun(r, e)
 	default:
@@ -67,10 +68,29 @@
 	g.dispatchQueue(g.queue(r.service))
 }
 
+// completed ends a request whose answer has been relayed.
+func (g *Gateway) completed(r *request) {
+	g.suspects.clear(r.req.Fingerprint)
+	g.observe(TimeComplete, r)
+	delete(g.requests, r.conn)
+}
+
+// afterClosed ends a stream that may be whole, if the caller's answer does not
+// claim more than that. An answer whose framing would mark it as whole is
+// continued at another upstream or aborted.
+func (g *Gateway) afterClosed(r *request, e Ended) {
+	if e.CallerFraming != FramingClose {
+		g.afterRun(r, e)
+		return
+	}
+	g.emit(Finish{Conn: r.conn})
+	g.completed(r)
+}
+
 // placementOutcome classifies a result for the upstream's health.
 func placementOutcome(result Result) placement.Outcome {
 	switch result {
-	case ResultComplete:
+	case ResultComplete, ResultClosed:
 		return placement.Succeeded
 	case ResultErrored, ResultMalformed:
 		return placement.Errored
--- a/internal/core/gateway/effect.go
+++ b/internal/core/gateway/effect.go
@@ -60,7 +60,11 @@
 // RelayError relays the upstream's own error to the caller.
 type RelayError struct{ Conn uint64 }
 
-// Abort closes the caller's connection in the middle of an answer.
+// Finish ends the caller's answer in order, as its upstream has ended it.
+type Finish struct{ Conn uint64 }
+
+// Abort breaks the caller's connection in the middle of an answer, so that the
+// answer does not look complete.
 type Abort struct {
 	Conn   uint64
 	Reason Reason
@@ -172,6 +176,7 @@
 func (Move) effect()          {}
 func (Refuse) effect()        {}
 func (RelayError) effect()    {}
+func (Finish) effect()        {}
 func (Abort) effect()         {}
 func (Send) effect()          {}
 func (ReadLease) effect()     {}
--- a/internal/core/gateway/event.go
+++ b/internal/core/gateway/event.go
@@ -56,6 +56,8 @@
 	Detail string
 	// AnswerSent is set if part of the answer has reached the caller.
 	AnswerSent bool
+	// CallerFraming is the framing of the answer that has reached the caller.
+	CallerFraming Framing
 	// Load is the load that the upstream reported, nil if it reported none.
 	Load *Load
 	// Framing is the framing of the upstream's answer, empty without an answer.
@@ -90,6 +92,9 @@
 const (
 	// ResultComplete: the whole answer was relayed.
 	ResultComplete Result = "complete"
+	// ResultClosed: a stream ended after an event because its connection was
+	// closed in order, and nothing else marks its end. It may be whole.
+	ResultClosed Result = "closed"
 	// ResultErrored: the upstream answered completely, with an error of its
 	// own.
 	ResultErrored Result = "errored"
@@ -114,7 +119,7 @@
 // Results lists all results, so that each has a counter from the start.
 func Results() []Result {
 	return []Result{
-		ResultComplete, ResultErrored, ResultFull, ResultMisdirected, ResultRefused,
+		ResultComplete, ResultClosed, ResultErrored, ResultFull, ResultMisdirected, ResultRefused,
 		ResultUnreachable, ResultBroken, ResultMalformed, ResultAborted,
 	}
 }
--- a/internal/core/gateway/evidence.go
+++ b/internal/core/gateway/evidence.go
@@ -123,7 +123,7 @@
 	if evidence == nil || result.NotRun() || result == ResultAborted {
 		return
 	}
-	if result == ResultComplete {
+	if result == ResultComplete || result == ResultClosed {
 		g.countGood(r)
 		return
 	}
--- a/internal/core/gateway/move.go
+++ b/internal/core/gateway/move.go
@@ -155,8 +155,10 @@
 
 // endedInMove processes the end of a stream that is being moved. It returns
 // true if the request waits for the move's answer or continues according to it.
+// An engine that stops a run closes its stream without an end, which without
+// length or chunks looks like the end of a whole stream.
 func (g *Gateway) endedInMove(r *request, e Ended) bool {
-	if r.move == nil || e.Result != ResultBroken {
+	if r.move == nil || e.Result != ResultBroken && e.Result != ResultClosed {
 		return false
 	}
 	r.move.ended = &e
@@ -176,7 +178,19 @@
 		g.dispatchTo(r, m.target, KVCache{Address: m.source.Address, Handle: m.moved.Handle})
 	case MoveStopped:
 		g.dispatchTo(r, m.source, KVCache{Address: m.source.Address, Handle: m.moved.Handle})
-	case MoveRefused, MoveAbsent, MoveUnknown:
+	case MoveRefused, MoveAbsent:
+		g.afterStream(r, *m.ended)
+	case MoveUnknown:
 		g.afterRun(r, *m.ended)
 	}
 }
+
+// afterStream ends or retries a request whose stream ended although its move did
+// not stop it.
+func (g *Gateway) afterStream(r *request, e Ended) {
+	if e.Result == ResultClosed {
+		g.afterClosed(r, e)
+		return
+	}
+	g.afterRun(r, e)
+}
--- a/internal/run/gateway/answer_end_test.go
+++ b/internal/run/gateway/answer_end_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -191,10 +192,13 @@
 // may have been cut, so that the caller's answer may not have a mark of its end.
 func TestUncertainEndIsNotFramedAsComplete(t *testing.T) {
 	failure := "HTTP/1.1 500 Internal Server Error\r\n"
+	brokenStream := rawAnswer{head: streamHead + chunksHead, body: chunk(threeEvents)}
+	unmarkedRest := rawAnswer{head: streamHead + closeHead, body: event(4)}
 	tests := []answerEnd{
 		{"stream", oncePath, one(streamHead+closeHead, threeEvents), received{200, "close", threeEvents, true}},
 		{"stream, reset", oncePath, reset(streamHead+closeHead, threeEvents), received{200, "close", threeEvents, false}},
-		{"stream, resumed without a mark", resumePath, append(one(streamHead+chunksHead, chunk(threeEvents)), one(streamHead+closeHead, event(4))...), received{200, "chunks", threeEvents + event(4), false}},
+		{"stream, resumed without a mark", resumePath, []rawAnswer{brokenStream, unmarkedRest, {head: streamHead + closeHead}}, received{200, "chunks", threeEvents + event(4), false}},
+		{"stream, resumed without a mark, then with one", resumePath, []rawAnswer{brokenStream, unmarkedRest, {head: streamHead + chunksHead, body: chunk("")}}, received{200, "chunks", threeEvents + event(4), true}},
 		{"stream, resumed with a mark", resumePath, append(one(streamHead+closeHead, insideEvent), one(streamHead+chunksHead, chunk(event(4))+chunk(""))...), received{200, "close", threeEvents + event(4), true}},
 		{"document", unsafePath, one(plainHead+closeHead, document), received{200, "close", document, true}},
 		{"document on a streaming route", oncePath, one(plainHead+closeHead, document), received{200, "close", document, true}},
@@ -204,3 +208,36 @@
 		test.run(t)
 	}
 }
+
+// readRaw sends a request over a connection of its own and returns how reading
+// the answer ended; closeNode closes the node's server in the middle of it.
+func readRaw(c *qt.C, version string, closeNode bool, answer rawAnswer) error {
+	server := serveNode(c, newTestRunner(startRawUpstream(c, answer)))
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "GET "+oncePath+" "+version+"\r\nHost: h\r\n\r\n")
+	c.Assert(err, qt.IsNil)
+	r := bufio.NewReader(conn)
+	for line := ""; line != "data: token 3\n"; {
+		line, err = r.ReadString('\n')
+		c.Assert(err, qt.IsNil)
+	}
+	if closeNode {
+		c.Assert(server.Config.Close(), qt.IsNil)
+	}
+	_, err = io.Copy(io.Discard, r)
+	return err
+}
+
+// TestCloseWithoutFinishResetsCaller: an answer whose only mark of its end is the
+// close of the connection is reset if the node ends it for another reason.
+func TestCloseWithoutFinishResetsCaller(t *testing.T) {
+	c := qt.New(t)
+	open := rawAnswer{head: streamHead + closeHead, body: threeEvents, reset: true}
+	c.Assert(readRaw(c, "HTTP/1.1", true, open), qt.ErrorIs, syscall.ECONNRESET)
+	cut := rawAnswer{head: streamHead + chunksHead, body: chunk(threeEvents)}
+	c.Assert(readRaw(c, "HTTP/1.0", false, cut), qt.ErrorIs, syscall.ECONNRESET)
+	whole := rawAnswer{head: streamHead + chunksHead, body: chunk(threeEvents) + chunk("")}
+	c.Assert(readRaw(c, "HTTP/1.0", false, whole), qt.IsNil)
+}
--- a/internal/run/gateway/attempt.go
+++ b/internal/run/gateway/attempt.go
@@ -12,13 +12,9 @@
 	"monsoonlanding/internal/wire/http1"
 )
 
-const (
-	// writeMargin extends the deadline for writes to the caller beyond the
-	// deadline of the attempt.
-	writeMargin = 250 * time.Millisecond
-	// maxAnswerBytes bounds an answer that is buffered in memory.
-	maxAnswerBytes = 64 << 20
-)
+// writeMargin extends the deadline for writes to the caller beyond the deadline
+// of the attempt.
+const writeMargin = 250 * time.Millisecond
 
 // attempt sends the request to an upstream and relays the answer. It reports
 // whether the request is finished.
@@ -28,9 +24,11 @@
 	defer cancel()
 	_ = h.control.SetWriteDeadline(time.Now().Add(remaining + writeMargin))
 	ended := h.exchange(attemptCtx, d, remaining)
-	ended.Conn, ended.Attempt, ended.AnswerSent = h.conn, d.Attempt, h.stream.headSent
+	ended.Conn, ended.Attempt = h.conn, d.Attempt
+	ended.AnswerSent, ended.CallerFraming = h.framing != "", h.framing
 	if ended.Result == core.ResultComplete {
 		h.runner.submit(ended)
+		h.finish()
 		return true
 	}
 	if ctx.Err() != nil {
@@ -74,8 +72,11 @@
 			h.runner.log.Debug().Str("step", "attempt").Str("request", h.request.ID).Err(err).Msg("body of refusal not read")
 		}
 		return ended
-	case d.Streaming && answer.Status() == http.StatusOK:
+	case d.Streaming && answer.Status() == http.StatusOK && isEventStream(answer.Header()):
 		err = h.relayEvents(answer, d)
+		if answer.Framing() == http1.FramingClose {
+			ended.Result = core.ResultClosed
+		}
 	default:
 		err = h.relayBuffered(answer, d)
 	}
@@ -101,43 +102,14 @@
 	return core.Ended{Result: result, Detail: err.Error()}
 }
 
-// bufferAnswer reads a complete answer into h.answer. An upstream's error is
-// relayed from there if no other attempt succeeds.
-func (h *handler) bufferAnswer(answer *http1.Answer) error {
-	body, err := readBody(answer)
-	if err != nil {
-		return err
-	}
-	h.answer = &bufferedAnswer{status: answer.Status(), header: answer.Header(), body: body}
-	return nil
-}
-
-// relayBuffered reads the complete answer before relaying any of it, so that the
-// request can be retried if the connection breaks.
-func (h *handler) relayBuffered(answer *http1.Answer, d core.Dispatch) error {
-	h.runner.submit(core.Began{Conn: h.conn, Attempt: d.Attempt})
-	if err := h.bufferAnswer(answer); err != nil {
-		return err
-	}
-	h.writeBuffered()
-	return nil
-}
-
-func readBody(answer *http1.Answer) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(answer, maxAnswerBytes+1))
-	if err != nil {
-		return nil, err
-	}
-	if len(body) > maxAnswerBytes {
-		return nil, errors.Wrap(errMalformed, "answer exceeds the size limit")
-	}
-	return body, nil
-}
-
 // errCallerWrite is the cause of an attempt that ends because a write to the
 // caller fails.
 var errCallerWrite = errors.New("write to caller")
 
+// errBrokenOff is the cause of an attempt whose answer ended too early although
+// its framing does not show that.
+var errBrokenOff = errors.New("answer broken off")
+
 // errMalformed is the cause of an attempt that ends because the answer breaks
 // the protocol or a size limit.
 var errMalformed = errors.New("malformed answer")
--- a/internal/run/gateway/execute.go
+++ b/internal/run/gateway/execute.go
@@ -15,6 +15,8 @@
 		r.enqueue(e.Conn, e)
 	case core.RelayError:
 		r.enqueue(e.Conn, e)
+	case core.Finish:
+		r.enqueue(e.Conn, e)
 	case core.Abort:
 		r.enqueue(e.Conn, e)
 	case core.Send:
@@ -60,12 +62,21 @@
 // the channel holds all effects that can be pending at once.
 func (r *Runner) enqueue(conn uint64, e core.Effect) {
 	if h := r.handlers[conn]; h != nil {
-		_, dispatched := e.(core.Dispatch)
-		h.failed = h.failed || !dispatched
+		h.failed = h.failed || isFailure(e)
 		h.effects <- e
 	}
 }
 
+// isFailure reports whether an effect ends a request without a good answer.
+func isFailure(e core.Effect) bool {
+	switch e.(type) {
+	case core.Dispatch, core.Finish:
+		return false
+	default:
+		return true
+	}
+}
+
 func (r *Runner) readLease() {
 	read, err := r.cfg.Services.ReadLease(r.ctx)
 	if err != nil {
--- a/internal/run/gateway/handler.go
+++ b/internal/run/gateway/handler.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
@@ -35,19 +34,15 @@
 	// failed is set if the request was refused, aborted or answered with an
 	// error.
 	failed bool
+	// framing is the framing of the caller's answer, empty before its head has
+	// been written.
+	framing core.Framing
 	// stream is the state of a streamed answer over all attempts.
 	stream stream
 	// answer is the answer last read by bufferAnswer, nil before the first.
 	answer *bufferedAnswer
 }
 
-// bufferedAnswer is a complete answer of an upstream.
-type bufferedAnswer struct {
-	status int
-	header http.Header
-	body   []byte
-}
-
 // serveCaller serves one request of a caller.
 func (r *Runner) serveCaller(w http.ResponseWriter, req *http.Request) {
 	h := &handler{
@@ -174,6 +169,9 @@
 	case core.RelayError:
 		h.writeBuffered()
 		return true
+	case core.Finish:
+		h.finish()
+		return true
 	case core.Abort:
 		h.abort()
 		return true
@@ -182,18 +180,15 @@
 	}
 }
 
-// abort closes the caller's connection so that the answer does not look complete.
+// finish ends the answer in order.
+func (h *handler) finish() {
+	if h.framing == core.FramingClose {
+		h.resetOnClose(false)
+	}
+}
+
+// abort breaks the caller's connection so that the answer does not look complete.
 func (h *handler) abort() {
 	h.runner.removeHandler(h, false)
 	panic(http.ErrAbortHandler)
 }
-
-// writeBuffered writes the buffered answer to the caller.
-func (h *handler) writeBuffered() {
-	a := h.answer
-	h.runner.cfg.Protocol.CopyHeader(h.w.Header(), a.header)
-	h.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
-	h.w.WriteHeader(a.status)
-	// A write error means that the caller has disconnected.
-	_, _ = h.w.Write(a.body)
-}
--- a/internal/run/gateway/relay_bench_test.go
+++ b/internal/run/gateway/relay_bench_test.go
@@ -91,6 +91,7 @@
 func BenchmarkStream(b *testing.B) {
 	event := "id: 1\ndata: " + strings.Repeat("x", 40) + "\n\n"
 	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
 		for range 70 {
 			_, _ = io.WriteString(w, event)
 			w.(http.Flusher).Flush()
--- a/internal/run/gateway/relay_test.go
+++ b/internal/run/gateway/relay_test.go
@@ -31,7 +31,9 @@
 
 // serveNode serves callers by a runner.
 func serveNode(c *qt.C, r *Runner) *httptest.Server {
-	server := httptest.NewServer(http.HandlerFunc(r.serveCaller))
+	server := httptest.NewUnstartedServer(nil)
+	server.Config = r.callerServer()
+	server.Start()
 	c.Cleanup(server.Close)
 	return server
 }
@@ -51,6 +53,7 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		first := attempts.Add(1) == 1
 		last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+		w.Header().Set("Content-Type", "text/event-stream")
 		for id := last + 1; id <= 6; id++ {
 			if first && id == 4 {
 				_, _ = io.WriteString(w, event(id)[:9])
@@ -136,6 +139,7 @@
 	c := qt.New(t)
 	started, stopped := make(chan struct{}), make(chan struct{})
 	server, r := newTestNode(c, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
 		_, _ = io.WriteString(w, event(1))
 		w.(http.Flusher).Flush()
 		close(started)
--- a/internal/run/gateway/runner.go
+++ b/internal/run/gateway/runner.go
@@ -159,12 +159,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(peerws.Path, peerws.NewHandler(s.Name, s.Peers.Token, codec, r.receive, r.log))
 	r.servers = []*http.Server{
-		{
-			Handler:           http.HandlerFunc(r.serveCaller),
-			ReadHeaderTimeout: headerTimeout,
-			IdleTimeout:       idleTimeout,
-			MaxHeaderBytes:    maxHeaderBytes,
-		},
+		r.callerServer(),
 		{Handler: r.cfg.Protocol.Directory(r.directory), ReadHeaderTimeout: headerTimeout},
 		{Handler: r.cfg.Protocol.Readiness(r.ready), ReadHeaderTimeout: headerTimeout},
 		{Handler: mux, ReadHeaderTimeout: headerTimeout},
@@ -177,6 +172,17 @@
 	return r.listen(s.Listen)
 }
 
+// callerServer returns the server for callers.
+func (r *Runner) callerServer() *http.Server {
+	return &http.Server{
+		Handler:           http.HandlerFunc(r.serveCaller),
+		ConnContext:       withConnection,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
 // metricsHandler serves the metrics as text and as JSON.
 func metricsHandler() http.Handler {
 	mux := http.NewServeMux()
--- a/internal/run/gateway/stream.go
+++ b/internal/run/gateway/stream.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"io"
+	"mime"
+	"net/http"
 
 	"github.com/go-faster/errors"
 
@@ -19,9 +21,6 @@
 
 // stream is the state of a streamed answer over all its attempts.
 type stream struct {
-	// headSent is set once the head is written to the caller: with the first
-	// events, or at the end of an answer without events.
-	headSent bool
 	// attemptBegan is set when the current attempt has relayed an event.
 	attemptBegan bool
 	// lastID is the ID of the last event relayed.
@@ -62,10 +61,8 @@
 
 // writeEvents writes complete events to the caller.
 func (h *handler) writeEvents(answer *http1.Answer, d core.Dispatch, events []byte) error {
-	if !h.stream.headSent {
-		h.stream.headSent = true
-		h.runner.cfg.Protocol.CopyHeader(h.w.Header(), answer.Header())
-		h.w.WriteHeader(answer.Status())
+	if h.framing == "" {
+		h.writeHead(answer.Status(), answer.Header(), h.streamFraming(answer))
 	}
 	if !h.stream.attemptBegan {
 		h.stream.attemptBegan = true
@@ -83,15 +80,54 @@
 	return nil
 }
 
-// endStream relays the rest of a complete answer after its last event. It also
-// writes the head if the answer has no events.
+// streamFraming returns the framing of the caller's stream: that of the first
+// upstream's answer, with chunks in place of a length, since the stream may go on
+// at another upstream. HTTP/1.0 has no chunks.
+func (h *handler) streamFraming(answer *http1.Answer) core.Framing {
+	if answer.Framing() == http1.FramingClose || !h.r.ProtoAtLeast(1, 1) {
+		return core.FramingClose
+	}
+	return core.FramingChunks
+}
+
+// endStream ends the relay of a stream whose body has ended with rest after its
+// last event. It writes the head if the answer has no events.
 func (h *handler) endStream(answer *http1.Answer, d core.Dispatch, rest []byte) error {
-	if len(rest) == 0 && h.stream.headSent {
+	switch {
+	case isPartialEvent(rest):
+		return errors.Wrap(errBrokenOff, "stream ended inside an event")
+	case h.framing != "" && len(rest) == 0:
 		return nil
+	case h.framing == "" && answer.Framing() == http1.FramingClose:
+		return errors.Wrap(errBrokenOff, "stream closed before its first event")
 	}
 	return h.writeEvents(answer, d, rest)
 }
 
+// isEventStream reports whether an answer on a streaming route consists of
+// events. An answer that names no type does.
+func isEventStream(header http.Header) bool {
+	contentType := header.Get("Content-Type")
+	if contentType == "" {
+		return true
+	}
+	mediaType, _, err := mime.ParseMediaType(contentType)
+	return err == nil && mediaType == "text/event-stream"
+}
+
+// isPartialEvent reports whether the bytes after the last event of a stream
+// belong to another event. Whole lines of comment don't.
+func isPartialEvent(rest []byte) bool {
+	for len(rest) > 0 {
+		line, after, whole := bytes.Cut(rest, []byte("\n"))
+		if !whole || !bytes.HasPrefix(line, []byte(":")) {
+			return true
+		}
+		rest = after
+	}
+	return false
+}
+
 var (
 	eventEnd     = []byte("\n\n")
 	eventEndCRLF = []byte("\r\n\r\n")
