--- a/internal/run/gateway/answer_end_test.go
+++ b/internal/run/gateway/answer_end_test.go
@@ -3,78 +3,28 @@
 import (
 	"bufio"
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"strconv"
-	"strings"
 	"syscall"
 	"testing"
-	"time"
 
 	qt "github.com/frankban/quicktest"
-)
 
-// rawAnswer is an upstream's answer, byte for byte, and how its connection ends.
-type rawAnswer struct {
-	head string
-	body string
-	// reset ends the connection with a reset instead of an orderly close.
-	reset bool
-}
+	"monsoonlanding/internal/standin/rawhttp"
+)
 
-// Heads of answers. The number of a length follows lengthHead.
+// Heads of answers by their content type.
 const (
 	streamHead = "Content-Type: text/event-stream\r\n"
 	plainHead  = "Content-Type: application/json\r\n"
-	chunksHead = "Transfer-Encoding: chunked\r\n"
-	closeHead  = "Connection: close\r\n"
 )
 
-func lengthHead(n int) string { return "Content-Length: " + strconv.Itoa(n) + "\r\n" }
-
-// chunk encodes a chunk; the empty one ends a body.
-func chunk(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
-
-// resetDelay lets an answer arrive before a reset discards what is unread.
-const resetDelay = 50 * time.Millisecond
-
-// serve answers one request on a connection and ends the connection.
-func (a rawAnswer) serve(conn *net.TCPConn) {
-	defer func() { _ = conn.Close() }()
-	req, err := http.ReadRequest(bufio.NewReader(conn))
-	if err != nil {
-		return
-	}
-	_, _ = io.Copy(io.Discard, req.Body)
-	head := a.head
-	if !strings.HasPrefix(head, "HTTP/") {
-		head = "HTTP/1.1 200 OK\r\n" + head
-	}
-	_, _ = io.WriteString(conn, head+"\r\n"+a.body)
-	if a.reset {
-		time.Sleep(resetDelay)
-		_ = conn.SetLinger(0)
-	}
-}
-
-// startRawUpstream serves one answer per connection, the last one repeatedly,
-// and returns the address.
-func startRawUpstream(c *qt.C, answers ...rawAnswer) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func startRawUpstream(c *qt.C, answers ...rawhttp.Answer) string {
+	address, stop, err := rawhttp.Start(answers...)
 	c.Assert(err, qt.IsNil)
-	c.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for i := 0; ; i++ {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go answers[min(i, len(answers)-1)].serve(conn.(*net.TCPConn))
-		}
-	}()
-	return l.Addr().String()
+	c.Cleanup(stop)
+	return address
 }
 
 // received is an answer as the caller sees it.
@@ -87,7 +37,7 @@
 }
 
 // request sends a request to a node with one upstream and reads the answer.
-func request(c *qt.C, path string, answers ...rawAnswer) received {
+func request(c *qt.C, path string, answers ...rawhttp.Answer) received {
 	server := serveNode(c, newTestRunner(startRawUpstream(c, answers...)))
 	resp, err := get(c, context.Background(), server, path)
 	c.Assert(err, qt.IsNil)
@@ -127,7 +77,7 @@
 type answerEnd struct {
 	name    string
 	path    string
-	answers []rawAnswer
+	answers []rawhttp.Answer
 	want    received
 }
 
@@ -139,8 +89,10 @@
 	})
 }
 
-func one(head, body string) []rawAnswer   { return []rawAnswer{{head: head, body: body}} }
-func reset(head, body string) []rawAnswer { return []rawAnswer{{head: head, body: body, reset: true}} }
+func one(head, body string) []rawhttp.Answer { return []rawhttp.Answer{{Head: head, Body: body}} }
+func reset(head, body string) []rawhttp.Answer {
+	return []rawhttp.Answer{{Head: head, Body: body, Reset: true}}
+}
 
 // TestAnswerEnds has a row for each way in which an upstream's framed answer
 // ends, and what the caller sees of it.
@@ -149,23 +101,23 @@
 	cutStream := received{200, "chunks", threeEvents, false}
 	wholeDocument := received{200, "length", document, true}
 	tests := []answerEnd{
-		{"stream, length, whole", oncePath, one(streamHead+lengthHead(len(threeEvents)), threeEvents), wholeStream},
-		{"stream, length, closed early", oncePath, one(streamHead+lengthHead(len(threeEvents)+9), threeEvents), cutStream},
-		{"stream, length, reset", oncePath, reset(streamHead+lengthHead(len(threeEvents)+9), threeEvents), cutStream},
-		{"stream, chunks, whole", oncePath, one(streamHead+chunksHead, chunk(threeEvents)+chunk("")), wholeStream},
-		{"stream, chunks, closed early", oncePath, one(streamHead+chunksHead, chunk(threeEvents)), cutStream},
-		{"stream, chunks, closed inside an event", oncePath, one(streamHead+chunksHead, chunk(insideEvent)), cutStream},
-		{"stream, chunks, reset", oncePath, reset(streamHead+chunksHead, chunk(insideEvent)), cutStream},
-		{"stream, chunks, no event", oncePath, one(streamHead+chunksHead, chunk("")), received{200, "chunks", "", true}},
-		{"stream, chunks, closed before the first event", oncePath, one(streamHead+chunksHead, ""), failed},
-		{"document, length, whole", unsafePath, one(plainHead+lengthHead(len(document)), document), wholeDocument},
-		{"document, length, closed early", unsafePath, one(plainHead+lengthHead(len(document)+1), document), failed},
-		{"document, length, reset", unsafePath, reset(plainHead+lengthHead(len(document)+1), document), failed},
-		{"document, chunks, whole", unsafePath, one(plainHead+chunksHead, chunk(document)+chunk("")), wholeDocument},
-		{"document, chunks, closed early", unsafePath, one(plainHead+chunksHead, chunk(document)), failed},
-		{"document, close, reset", unsafePath, reset(plainHead+closeHead, document), failed},
+		{"stream, length, whole", oncePath, one(streamHead+rawhttp.Length(len(threeEvents)), threeEvents), wholeStream},
+		{"stream, length, closed early", oncePath, one(streamHead+rawhttp.Length(len(threeEvents)+9), threeEvents), cutStream},
+		{"stream, length, reset", oncePath, reset(streamHead+rawhttp.Length(len(threeEvents)+9), threeEvents), cutStream},
+		{"stream, chunks, whole", oncePath, one(streamHead+rawhttp.Chunked, rawhttp.Chunk(threeEvents)+rawhttp.Chunk("")), wholeStream},
+		{"stream, chunks, closed early", oncePath, one(streamHead+rawhttp.Chunked, rawhttp.Chunk(threeEvents)), cutStream},
+		{"stream, chunks, closed inside an event", oncePath, one(streamHead+rawhttp.Chunked, rawhttp.Chunk(insideEvent)), cutStream},
+		{"stream, chunks, reset", oncePath, reset(streamHead+rawhttp.Chunked, rawhttp.Chunk(insideEvent)), cutStream},
+		{"stream, chunks, no event", oncePath, one(streamHead+rawhttp.Chunked, rawhttp.Chunk("")), received{200, "chunks", "", true}},
+		{"stream, chunks, closed before the first event", oncePath, one(streamHead+rawhttp.Chunked, ""), failed},
+		{"document, length, whole", unsafePath, one(plainHead+rawhttp.Length(len(document)), document), wholeDocument},
+		{"document, length, closed early", unsafePath, one(plainHead+rawhttp.Length(len(document)+1), document), failed},
+		{"document, length, reset", unsafePath, reset(plainHead+rawhttp.Length(len(document)+1), document), failed},
+		{"document, chunks, whole", unsafePath, one(plainHead+rawhttp.Chunked, rawhttp.Chunk(document)+rawhttp.Chunk("")), wholeDocument},
+		{"document, chunks, closed early", unsafePath, one(plainHead+rawhttp.Chunked, rawhttp.Chunk(document)), failed},
+		{"document, close, reset", unsafePath, reset(plainHead+rawhttp.Unmarked, document), failed},
 		{"no answer", unsafePath, one("HTTP/1.1 ", ""), failed},
-		{"cut document, repeated", safePath, append(one(plainHead+lengthHead(20), document), one(plainHead+lengthHead(len(document)), document)...), wholeDocument},
+		{"cut document, repeated", safePath, append(one(plainHead+rawhttp.Length(20), document), one(plainHead+rawhttp.Length(len(document)), document)...), wholeDocument},
 	}
 	for _, test := range tests {
 		test.run(t)
@@ -176,12 +128,12 @@
 // answer inside an event although the framing says that it is whole.
 func TestStreamBrokenOffInsideEventLooksIncomplete(t *testing.T) {
 	tests := []answerEnd{
-		{"length", oncePath, one(streamHead+lengthHead(len(insideEvent)), insideEvent), received{200, "chunks", threeEvents, false}},
-		{"chunks", oncePath, one(streamHead+chunksHead, chunk(insideEvent)+chunk("")), received{200, "chunks", threeEvents, false}},
-		{"close", oncePath, one(streamHead+closeHead, insideEvent), received{200, "close", threeEvents, false}},
-		{"close, before the first event's end", oncePath, one(streamHead+closeHead, event(1)[:9]), failed},
-		{"close, before the first event", oncePath, one(streamHead+closeHead, ""), failed},
-		{"resumed", resumePath, append(one(streamHead+chunksHead, chunk(insideEvent)+chunk("")), one(streamHead+chunksHead, chunk(event(4))+chunk(""))...), received{200, "chunks", threeEvents + event(4), true}},
+		{"length", oncePath, one(streamHead+rawhttp.Length(len(insideEvent)), insideEvent), received{200, "chunks", threeEvents, false}},
+		{"chunks", oncePath, one(streamHead+rawhttp.Chunked, rawhttp.Chunk(insideEvent)+rawhttp.Chunk("")), received{200, "chunks", threeEvents, false}},
+		{"close", oncePath, one(streamHead+rawhttp.Unmarked, insideEvent), received{200, "close", threeEvents, false}},
+		{"close, before the first event's end", oncePath, one(streamHead+rawhttp.Unmarked, event(1)[:9]), failed},
+		{"close, before the first event", oncePath, one(streamHead+rawhttp.Unmarked, ""), failed},
+		{"resumed", resumePath, append(one(streamHead+rawhttp.Chunked, rawhttp.Chunk(insideEvent)+rawhttp.Chunk("")), one(streamHead+rawhttp.Chunked, rawhttp.Chunk(event(4))+rawhttp.Chunk(""))...), received{200, "chunks", threeEvents + event(4), true}},
 	}
 	for _, test := range tests {
 		test.run(t)
@@ -192,17 +144,17 @@
 // may have been cut, so that the caller's answer may not have a mark of its end.
 func TestUncertainEndIsNotFramedAsComplete(t *testing.T) {
 	failure := "HTTP/1.1 500 Internal Server Error\r\n"
-	brokenStream := rawAnswer{head: streamHead + chunksHead, body: chunk(threeEvents)}
-	unmarkedRest := rawAnswer{head: streamHead + closeHead, body: event(4)}
+	brokenStream := rawhttp.Answer{Head: streamHead + rawhttp.Chunked, Body: rawhttp.Chunk(threeEvents)}
+	unmarkedRest := rawhttp.Answer{Head: streamHead + rawhttp.Unmarked, Body: event(4)}
 	tests := []answerEnd{
-		{"stream", oncePath, one(streamHead+closeHead, threeEvents), received{200, "close", threeEvents, true}},
-		{"stream, reset", oncePath, reset(streamHead+closeHead, threeEvents), received{200, "close", threeEvents, false}},
-		{"stream, resumed without a mark", resumePath, []rawAnswer{brokenStream, unmarkedRest, {head: streamHead + closeHead}}, received{200, "chunks", threeEvents + event(4), false}},
-		{"stream, resumed without a mark, then with one", resumePath, []rawAnswer{brokenStream, unmarkedRest, {head: streamHead + chunksHead, body: chunk("")}}, received{200, "chunks", threeEvents + event(4), true}},
-		{"stream, resumed with a mark", resumePath, append(one(streamHead+closeHead, insideEvent), one(streamHead+chunksHead, chunk(event(4))+chunk(""))...), received{200, "close", threeEvents + event(4), true}},
-		{"document", unsafePath, one(plainHead+closeHead, document), received{200, "close", document, true}},
-		{"document on a streaming route", oncePath, one(plainHead+closeHead, document), received{200, "close", document, true}},
-		{"upstream's error", unsafePath, one(failure+closeHead, "oh"), received{500, "close", "oh", true}},
+		{"stream", oncePath, one(streamHead+rawhttp.Unmarked, threeEvents), received{200, "close", threeEvents, true}},
+		{"stream, reset", oncePath, reset(streamHead+rawhttp.Unmarked, threeEvents), received{200, "close", threeEvents, false}},
+		{"stream, resumed without a mark", resumePath, []rawhttp.Answer{brokenStream, unmarkedRest, {Head: streamHead + rawhttp.Unmarked}}, received{200, "chunks", threeEvents + event(4), false}},
+		{"stream, resumed without a mark, then with one", resumePath, []rawhttp.Answer{brokenStream, unmarkedRest, {Head: streamHead + rawhttp.Chunked, Body: rawhttp.Chunk("")}}, received{200, "chunks", threeEvents + event(4), true}},
+		{"stream, resumed with a mark", resumePath, append(one(streamHead+rawhttp.Unmarked, insideEvent), one(streamHead+rawhttp.Chunked, rawhttp.Chunk(event(4))+rawhttp.Chunk(""))...), received{200, "close", threeEvents + event(4), true}},
+		{"document", unsafePath, one(plainHead+rawhttp.Unmarked, document), received{200, "close", document, true}},
+		{"document on a streaming route", oncePath, one(plainHead+rawhttp.Unmarked, document), received{200, "close", document, true}},
+		{"upstream's error", unsafePath, one(failure+rawhttp.Unmarked, "oh"), received{500, "close", "oh", true}},
 	}
 	for _, test := range tests {
 		test.run(t)
@@ -211,7 +163,7 @@
 
 // readRaw sends a request over a connection of its own and returns how reading
 // the answer ended; closeNode closes the node's server in the middle of it.
-func readRaw(c *qt.C, version string, closeNode bool, answer rawAnswer) error {
+func readRaw(c *qt.C, version string, closeNode bool, answer rawhttp.Answer) error {
 	server := serveNode(c, newTestRunner(startRawUpstream(c, answer)))
 	conn, err := net.Dial("tcp", server.Listener.Addr().String())
 	c.Assert(err, qt.IsNil)
@@ -234,10 +186,10 @@
 // close of the connection is reset if the node ends it for another reason.
 func TestCloseWithoutFinishResetsCaller(t *testing.T) {
 	c := qt.New(t)
-	open := rawAnswer{head: streamHead + closeHead, body: threeEvents, reset: true}
+	open := rawhttp.Answer{Head: streamHead + rawhttp.Unmarked, Body: threeEvents, Reset: true}
 	c.Assert(readRaw(c, "HTTP/1.1", true, open), qt.ErrorIs, syscall.ECONNRESET)
-	cut := rawAnswer{head: streamHead + chunksHead, body: chunk(threeEvents)}
+	cut := rawhttp.Answer{Head: streamHead + rawhttp.Chunked, Body: rawhttp.Chunk(threeEvents)}
 	c.Assert(readRaw(c, "HTTP/1.0", false, cut), qt.ErrorIs, syscall.ECONNRESET)
-	whole := rawAnswer{head: streamHead + chunksHead, body: chunk(threeEvents) + chunk("")}
+	whole := rawhttp.Answer{Head: streamHead + rawhttp.Chunked, Body: rawhttp.Chunk(threeEvents) + rawhttp.Chunk("")}
 	c.Assert(readRaw(c, "HTTP/1.0", false, whole), qt.IsNil)
 }
--- /dev/null
+++ b/internal/standin/rawhttp/rawhttp.go
@@ -0,0 +1,83 @@
+// Package rawhttp is a stand-in for an HTTP server that answers byte for byte, so
+// that tests can play answers that net/http does not write: without a mark of
+// their end, cut short, or reset.
+//
+// # Usage
+//
+//	address, stop, err := rawhttp.Start(rawhttp.Answer{Head: "Content-Length: 9\r\n", Body: "cut"})
+//	defer stop()
+package rawhttp
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Heads of answers by what marks the end of the body.
+const (
+	Chunked = "Transfer-Encoding: chunked\r\n"
+	// Unmarked: the body ends with the connection.
+	Unmarked = "Connection: close\r\n"
+)
+
+// Length returns the head of an answer with n bytes.
+func Length(n int) string { return "Content-Length: " + strconv.Itoa(n) + "\r\n" }
+
+// Chunk encodes a chunk; the empty one ends a body.
+func Chunk(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
+
+// resetDelay lets an answer arrive before a reset discards what is unread.
+const resetDelay = 50 * time.Millisecond
+
+// Answer is an answer and how its connection ends.
+type Answer struct {
+	// Head has the header lines; a status line is added unless it has one.
+	Head string
+	Body string
+	// Reset ends the connection with a reset instead of an orderly close.
+	Reset bool
+}
+
+// Start serves one answer per connection, the last one repeatedly, on a loopback
+// address until stop is called.
+func Start(answers ...Answer) (address string, stop func(), err error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", nil, err
+	}
+	go func() {
+		for i := 0; ; i++ {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go answers[min(i, len(answers)-1)].serve(conn.(*net.TCPConn))
+		}
+	}()
+	return l.Addr().String(), func() { _ = l.Close() }, nil
+}
+
+// serve reads one request, answers it and ends the connection.
+func (a Answer) serve(conn *net.TCPConn) {
+	defer func() { _ = conn.Close() }()
+	req, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, req.Body)
+	head := a.Head
+	if !strings.HasPrefix(head, "HTTP/") {
+		head = "HTTP/1.1 200 OK\r\n" + head
+	}
+	_, _ = io.WriteString(conn, head+"\r\n"+a.Body)
+	if a.Reset {
+		time.Sleep(resetDelay)
+		_ = conn.SetLinger(0)
+	}
+}
