wire/callerhttp: a stream without its last event is aborted

What callers would see: a node that drops a connection in the middle of a stream (slow reader, holder lost) ended the HTTP answer in order. A client that goes by the framing took it for whole; ours waits for done, failed or moved and resumes.

Cause: writeStream returned, and net/http wrote the last chunk.

Change: a stream that ends without its last event aborts the connection.

--- a/internal/wire/callerhttp/answer.go
+++ b/internal/wire/callerhttp/answer.go
@@ -56,7 +56,8 @@
 }
 
 // writeStream writes the answer as server-sent events. A refusal before the
-// first event is written as a problem document instead.
+// first event is written as a problem document instead. A stream that ends
+// without its last event is aborted, so that it does not look complete.
 func (h *Handler) writeStream(w http.ResponseWriter, r *http.Request, connection Connection) {
 	control := http.NewResponseController(w)
 	started := false
@@ -68,10 +69,11 @@
 		case <-r.Context().Done():
 			return
 		}
+		if !open && started {
+			panic(http.ErrAbortHandler)
+		}
 		if !open {
-			if !started {
-				writeProblem(w, connectionClosed())
-			}
+			writeProblem(w, connectionClosed())
 			return
 		}
 		if f, ok := e.(caller.Failed); ok && !started {
@@ -85,7 +87,10 @@
 		}
 		// The deadline bounds the time spent on a caller that does not read.
 		_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
-		if !writeEvent(w, e) || control.Flush() != nil || caller.IsTerminal(e) {
+		if !writeEvent(w, e) || control.Flush() != nil {
+			panic(http.ErrAbortHandler)
+		}
+		if caller.IsTerminal(e) {
 			return
 		}
 	}
