wire/objecthttp: a value without a mark of its end is an error

What callers would see: rules, ledger shards or move states cut by a closed connection, or at 1 MiB, read as whole with their revision.

Cause: Get took the end of file for the end of a value that has no structure, and cut longer values at the limit without an error. List took null for an empty list.

Change: a value must come with a length or in chunks and fit the limit; a list must be an array. http1 exports the framing of a response for this.

Evidence: TestCutValueIsNoValue and TestCutListIsNoList fail before in three rows and pass now.

--- a/internal/wire/http1/answer.go
+++ b/internal/wire/http1/answer.go
@@ -46,11 +46,15 @@
 func (a *Answer) Header() http.Header { return a.response.Header }
 
 // Framing returns how the end of the body is marked.
-func (a *Answer) Framing() Framing {
+func (a *Answer) Framing() Framing { return FramingOf(a.response) }
+
+// FramingOf returns how the end of a response's body is marked. net/http reads a
+// compressed body, which has an end of its own, without its length.
+func FramingOf(r *http.Response) Framing {
 	switch {
-	case len(a.response.TransferEncoding) > 0:
+	case len(r.TransferEncoding) > 0 || r.Uncompressed:
 		return FramingChunks
-	case a.response.ContentLength >= 0 || a.response.Body == http.NoBody:
+	case r.ContentLength >= 0 || r.Body == http.NoBody:
 		return FramingLength
 	default:
 		return FramingClose
--- a/internal/wire/objecthttp/client.go
+++ b/internal/wire/objecthttp/client.go
@@ -25,6 +25,7 @@
 	"github.com/go-faster/errors"
 
 	"monsoonlanding/internal/core/platform"
+	"monsoonlanding/internal/wire/http1"
 )
 
 const (
@@ -78,7 +79,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return platform.Object{}, errors.Errorf("platform: read %s: got status %d, expected 200 or 404", path, resp.StatusCode)
 	}
-	value, err := io.ReadAll(io.LimitReader(resp.Body, MaxValueBytes+1))
+	value, err := readValue(resp)
 	if err != nil {
 		return platform.Object{}, errors.Wrapf(err, "platform: read %s", path)
 	}
@@ -89,6 +90,22 @@
 	return platform.Object{Revision: revision, Value: value}, nil
 }
 
+// readValue reads a whole value. A value has no structure that would show that it
+// was cut, so the answer must mark its end.
+func readValue(resp *http.Response) ([]byte, error) {
+	if http1.FramingOf(resp) == http1.FramingClose {
+		return nil, errors.New("got a value without a mark of its end, expected a length or chunks")
+	}
+	value, err := io.ReadAll(io.LimitReader(resp.Body, MaxValueBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(value) > MaxValueBytes {
+		return nil, errors.Errorf("got a value of more than %d bytes", MaxValueBytes)
+	}
+	return value, nil
+}
+
 // Put updates an object if it has the given revision, and returns the new
 // revision.
 // The outcome is unknown if no valid answer arrived.
@@ -137,6 +154,9 @@
 	if err := json.NewDecoder(resp.Body).Decode(&list); err != nil {
 		return nil, errors.Wrapf(err, "platform: list %s", prefix)
 	}
+	if list == nil {
+		return nil, errors.Errorf("platform: list %s: got null, expected an array", prefix)
+	}
 	return list, nil
 }
 
