wire/cloudhttp: a list of VMs or a notice without content is an error

What callers would see: an answer of null read as an empty list, so that every upstream counts as gone, and a notice without its time read as a reclaim at once.

Cause: zero values of a decoded document stand for what did not arrive.

--- a/internal/wire/cloudhttp/client.go
+++ b/internal/wire/cloudhttp/client.go
@@ -64,6 +64,9 @@
 	if _, err := c.get(ctx, VMsPath, &vms); err != nil {
 		return nil, err
 	}
+	if vms == nil {
+		return nil, errors.Errorf("cloud: read %s: got null, expected an array", VMsPath)
+	}
 	list := make([]upstream.Upstream, 0, len(vms))
 	for _, v := range vms {
 		list = append(list, upstream.Upstream(v))
@@ -76,7 +79,13 @@
 func (c *Client) Notice(ctx context.Context, name string) (time.Time, bool, error) {
 	var n Notice
 	found, err := c.get(ctx, NoticePath+name, &n)
-	return n.Until, found, err
+	if err != nil || !found {
+		return time.Time{}, false, err
+	}
+	if n.Until.IsZero() {
+		return time.Time{}, false, errors.Errorf("cloud: read %s: got a notice without until", NoticePath+name)
+	}
+	return n.Until, true, nil
 }
 
 // get decodes the document at path into a value. It returns false if there is
