wire/operatorhttp: an answer that can't be decoded is an error

What operators would see: rules show prints nothing, and rules apply reports success, when the node's answer is cut.

Cause: the client ignored the error of decoding an answer with a good status.

Evidence: TestCutAnswerOfNodeIsAnError fails before in all rows and passes now; the outcome of a refused change is returned as before.

--- a/internal/wire/operatorhttp/client.go
+++ b/internal/wire/operatorhttp/client.go
@@ -67,8 +67,9 @@
 	return result, err
 }
 
-// do makes a call and returns the status. The body of the answer is decoded for
-// every status; a status of 300 or more is also returned as an error.
+// do makes a call, decodes the answer into a value and returns the status. The
+// body is decoded for every status; a status of 300 or more is returned as an
+// error, whether or not its body could be decoded.
 func (c *Client) do(ctx context.Context, method, path, body string, into any) (int, error) {
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, strings.NewReader(body))
 	if err != nil {
@@ -84,11 +85,12 @@
 	if err != nil {
 		return resp.StatusCode, errors.Wrapf(err, "operator: read answer to %s %s", method, path)
 	}
-	if into != nil && len(answer) > 0 {
-		_ = json.Unmarshal(answer, into)
-	}
+	decodeErr := json.Unmarshal(answer, into)
 	if resp.StatusCode >= 300 {
 		return resp.StatusCode, errors.Errorf("operator: %s %s: node %s: status %d: %s", method, path, c.base, resp.StatusCode, strings.TrimSpace(string(answer)))
 	}
+	if decodeErr != nil {
+		return resp.StatusCode, errors.Wrapf(decodeErr, "operator: decode answer of node %s to %s %s", c.base, method, path)
+	}
 	return resp.StatusCode, nil
 }
