wire/upstreamhttp: a plain answer that may have been cut counts as a crash

What callers would see: 12 for 123, if a plain service's answer without length or chunks is a number whose connection closed early. Other JSON marks its end itself; cut, it counted as an error of the service rather than as a broken connection. A load report of null counted as no load.

Evidence: TestEndsOfAnswers and TestCutLoadReportIsNoReport fail before in three rows and pass now; engines' answers need their done event, as before.

--- a/internal/wire/upstreamhttp/client.go
+++ b/internal/wire/upstreamhttp/client.go
@@ -28,6 +28,7 @@
 
 	"monsoonlanding/internal/core/node"
 	"monsoonlanding/internal/core/upstream"
+	"monsoonlanding/internal/wire/http1"
 )
 
 const (
@@ -49,6 +50,8 @@
 	maxResultBytes = 1 << 20
 	// maxEventBytes bounds one event of an engine's answer.
 	maxEventBytes = 1 << 20
+	// maxLoadBytes bounds a load report.
+	maxLoadBytes = 1 << 10
 )
 
 // Generate is the body of a request to an engine.
@@ -204,12 +207,26 @@
 	if err != nil {
 		return failureEvent(ctx, attempt, err, node.CauseCrashed)
 	}
-	if len(result) > maxResultBytes || !json.Valid(result) {
+	whole := len(result) <= maxResultBytes
+	if whole && http1.FramingOf(resp) == http1.FramingClose && !marksItsEnd(result) {
+		return failureEvent(ctx, attempt, io.ErrUnexpectedEOF, node.CauseCrashed)
+	}
+	if !whole || !json.Valid(result) {
 		return node.UpstreamFailed{Attempt: attempt, Cause: node.CauseError, Detail: "the answer is no JSON document of at most 1 MiB"}
 	}
 	return node.UpstreamDone{Attempt: attempt, Result: result}
 }
 
+// marksItsEnd reports whether a result can't be the beginning of a longer JSON
+// document. A number has no end of its own.
+func marksItsEnd(result []byte) bool {
+	if !json.Valid(result) {
+		return false
+	}
+	last := result[len(result)-1]
+	return last < '0' || last > '9'
+}
+
 func (c *Client) readStream(ctx context.Context, d node.Dispatch, resp *http.Response, report func(node.Event)) node.Event {
 	for ev, err := range sse.Read(resp.Body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
 		if err != nil {
@@ -245,9 +262,12 @@
 		return upstream.Load{}, errors.Wrapf(err, "get load of %s", u.ID)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	var l Load
-	if err := json.NewDecoder(io.LimitReader(resp.Body, 1024)).Decode(&l); err != nil {
+	var l *Load
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxLoadBytes)).Decode(&l); err != nil {
 		return upstream.Load{}, errors.Wrapf(err, "decode load of %s", u.ID)
 	}
+	if l == nil {
+		return upstream.Load{}, errors.Errorf("decode load of %s: got null, expected an object", u.ID)
+	}
 	return upstream.Load{At: at, Running: l.Running, Waiting: l.Waiting}, nil
 }
--- a/internal/wire/upstreamhttp/client_test.go
+++ b/internal/wire/upstreamhttp/client_test.go
@@ -14,6 +14,7 @@
 	"monsoonlanding/internal/core/caller"
 	"monsoonlanding/internal/core/node"
 	"monsoonlanding/internal/core/upstream"
+	"monsoonlanding/internal/standin/rawhttp"
 )
 
 // run dispatches a request to a handler and returns the last event reported.
@@ -109,3 +110,63 @@
 	plain := run(t, upstream.Plain, func(w http.ResponseWriter, _ *http.Request) { _, _ = fmt.Fprint(w, `{"seat":12}`) })
 	c.Assert(plain, qt.DeepEquals, node.Event(node.UpstreamDone{Attempt: 1, Result: []byte(`{"seat":12}`)}))
 }
+
+// TestEndsOfAnswers has a row for each way in which an engine's or a plain
+// service's answer ends.
+func TestEndsOfAnswers(t *testing.T) {
+	token := "event: token\ndata: {\"offset\":0,\"tokens\":[\"a\"]}\n\n"
+	done := "event: done\ndata: {\"count\":1}\n\n"
+	document := `{"seat":12}`
+	engine, plain := upstream.Engine, upstream.Plain
+	for _, test := range []struct {
+		name   string
+		kind   upstream.Kind
+		answer rawhttp.Answer
+		// cause is the failure, empty for a whole answer.
+		cause node.Cause
+	}{
+		{"engine, chunks, whole", engine, rawhttp.Answer{Head: rawhttp.Chunked, Body: rawhttp.Chunk(token+done) + rawhttp.Chunk("")}, ""},
+		{"engine, chunks, without done", engine, rawhttp.Answer{Head: rawhttp.Chunked, Body: rawhttp.Chunk(token) + rawhttp.Chunk("")}, node.CauseCrashed},
+		{"engine, chunks, inside done", engine, rawhttp.Answer{Head: rawhttp.Chunked, Body: rawhttp.Chunk(token+done[:len(done)-1]) + rawhttp.Chunk("")}, node.CauseCrashed},
+		{"engine, close, whole", engine, rawhttp.Answer{Head: rawhttp.Unmarked, Body: token + done}, ""},
+		{"engine, close, without done", engine, rawhttp.Answer{Head: rawhttp.Unmarked, Body: token}, node.CauseCrashed},
+		{"engine, close, inside done", engine, rawhttp.Answer{Head: rawhttp.Unmarked, Body: token + done[:len(done)-1]}, node.CauseCrashed},
+		{"engine, close, reset", engine, rawhttp.Answer{Head: rawhttp.Unmarked, Body: token, Reset: true}, node.CauseCrashed},
+		{"engine, length, closed early", engine, rawhttp.Answer{Head: rawhttp.Length(len(token) + 1), Body: token}, node.CauseCrashed},
+		{"plain, length, whole", plain, rawhttp.Answer{Head: rawhttp.Length(len(document)), Body: document}, ""},
+		{"plain, length, closed early", plain, rawhttp.Answer{Head: rawhttp.Length(len(document) + 1), Body: document}, node.CauseCrashed},
+		{"plain, chunks, closed early", plain, rawhttp.Answer{Head: rawhttp.Chunked, Body: rawhttp.Chunk(document)}, node.CauseCrashed},
+		{"plain, close, whole", plain, rawhttp.Answer{Head: rawhttp.Unmarked, Body: document}, ""},
+		{"plain, close, cut", plain, rawhttp.Answer{Head: rawhttp.Unmarked, Body: document[:5]}, node.CauseCrashed},
+		{"plain, close, number", plain, rawhttp.Answer{Head: rawhttp.Unmarked, Body: "12"}, node.CauseCrashed},
+		{"plain, close, reset", plain, rawhttp.Answer{Head: rawhttp.Unmarked, Body: document, Reset: true}, node.CauseCrashed},
+		{"plain, length, number", plain, rawhttp.Answer{Head: rawhttp.Length(2), Body: "12"}, ""},
+		{"503, close, cut", plain, rawhttp.Answer{Head: "HTTP/1.1 503 x\r\n" + rawhttp.Unmarked, Body: `{"reason":"busy"`}, node.CauseError},
+		{"503, close, whole", plain, rawhttp.Answer{Head: "HTTP/1.1 503 x\r\n" + rawhttp.Unmarked, Body: `{"reason":"busy"}`}, node.CauseBusy},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			address, stop, err := rawhttp.Start(test.answer)
+			c.Assert(err, qt.IsNil)
+			defer stop()
+			e := runAt(address, test.kind)
+			failed, isFailed := e.(node.UpstreamFailed)
+			c.Assert(isFailed, qt.Equals, test.cause != "", qt.Commentf("%+v", e))
+			c.Assert(failed.Cause, qt.Equals, test.cause, qt.Commentf("%+v", e))
+		})
+	}
+}
+
+// TestCutLoadReportIsNoReport: what is missing must not count as no load.
+func TestCutLoadReportIsNoReport(t *testing.T) {
+	for body, whole := range map[string]bool{`{"running":3,"waiting":1}`: true, `{"running":3`: false, "": false, "null": false} {
+		t.Run(body, func(t *testing.T) {
+			c := qt.New(t)
+			address, stop, err := rawhttp.Start(rawhttp.Answer{Head: rawhttp.Unmarked, Body: body})
+			c.Assert(err, qt.IsNil)
+			defer stop()
+			_, err = New(http.DefaultClient).Load(context.Background(), upstream.Upstream{Address: address}, time.Now())
+			c.Assert(err == nil, qt.Equals, whole, qt.Commentf("%v", err))
+		})
+	}
+}
