--- a/internal/wire/peerws/codec_test.go
+++ b/internal/wire/peerws/codec_test.go
@@ -27,3 +27,18 @@
 		c.Assert(got.Equal(startedAt), qt.IsTrue, qt.Commentf("%v became %v", startedAt, got))
 	}
 }
+
+// TestCutMessageIsNoMessage: no message decodes from a part of its frame.
+func TestCutMessageIsNoMessage(t *testing.T) {
+	c := qt.New(t)
+	codec, err := NewCodec()
+	c.Assert(err, qt.IsNil)
+	for _, m := range messageTypes {
+		frame, err := codec.Encode(m)
+		c.Assert(err, qt.IsNil)
+		for n := range frame {
+			_, err := codec.Decode(frame[:n])
+			c.Assert(err, qt.IsNotNil, qt.Commentf("%T, %d of %d bytes", m, n, len(frame)))
+		}
+	}
+}
