gateway: events that end with CR or mixed line ends are recognized

Cause: only two of the ways in which server-sent events may end were known.

Evidence: the new rows of TestLastEventEnd and TestLastEventID fail before; TestIsPartialEvent has what may follow the last event.

--- a/internal/run/gateway/stream.go
+++ b/internal/run/gateway/stream.go
@@ -118,30 +118,30 @@
 // isPartialEvent reports whether the bytes after the last event of a stream
 // belong to another event. Whole lines of comment don't.
 func isPartialEvent(rest []byte) bool {
-	for len(rest) > 0 {
-		line, after, whole := bytes.Cut(rest, []byte("\n"))
-		if !whole || !bytes.HasPrefix(line, []byte(":")) {
+	if len(rest) > 0 && !isLineEnd(rune(rest[len(rest)-1])) {
+		return true
+	}
+	for _, line := range bytes.FieldsFunc(rest, isLineEnd) {
+		if line[0] != ':' {
 			return true
 		}
-		rest = after
 	}
 	return false
 }
 
-var (
-	eventEnd     = []byte("\n\n")
-	eventEndCRLF = []byte("\r\n\r\n")
-	idField      = []byte("id:")
-)
+// eventEnds are the ways in which an empty line ends an event; a line ends with
+// LF, CR LF or CR.
+var eventEnds = [][]byte{[]byte("\n\n"), []byte("\n\r\n"), []byte("\r\r")}
+
+var idField = []byte("id:")
 
 // lastEventEnd returns the length of the complete events at the start of b.
 func lastEventEnd(b []byte) int {
 	end := 0
-	if i := bytes.LastIndex(b, eventEnd); i >= 0 {
-		end = i + len(eventEnd)
-	}
-	if i := bytes.LastIndex(b, eventEndCRLF); i >= 0 {
-		end = max(end, i+len(eventEndCRLF))
+	for _, eventEnd := range eventEnds {
+		if i := bytes.LastIndex(b, eventEnd); i >= 0 {
+			end = max(end, i+len(eventEnd))
+		}
 	}
 	return end
 }
@@ -154,10 +154,15 @@
 		if i < 0 {
 			return ""
 		}
-		if i == 0 || rest[i-1] == '\n' {
-			line, _, _ := bytes.Cut(events[i+len(idField):], []byte("\n"))
-			return string(bytes.TrimSpace(line))
+		if i == 0 || isLineEnd(rune(rest[i-1])) {
+			id := events[i+len(idField):]
+			if end := bytes.IndexFunc(id, isLineEnd); end >= 0 {
+				id = id[:end]
+			}
+			return string(bytes.TrimSpace(id))
 		}
 		rest = rest[:i]
 	}
 }
+
+func isLineEnd(r rune) bool { return r == '\n' || r == '\r' }
--- a/internal/run/gateway/stream_test.go
+++ b/internal/run/gateway/stream_test.go
@@ -16,6 +16,8 @@
 		"id: 1\ndata: a\n\nid: 2":       15,
 		"id: 1\r\ndata: a\r\n\r\nid: 2": 18,
 		"data: a\n\ndata: b\n\nid":      18,
+		"id: 1\rdata: a\r\rid: 2":       15,
+		"id: 1\ndata: a\n\r\nid: 2":     16,
 	} {
 		c.Assert(lastEventEnd([]byte(text)), qt.Equals, end, qt.Commentf("%q", text))
 	}
@@ -31,7 +33,24 @@
 		"data: id: 9\n\n":                     "",
 		"id: 3\ndata: id: 9\n\n":              "3",
 		"weight-versions: 4\nid: 5\r\n\n":     "5",
+		"id: 6\rdata: a\r\r":                  "6",
 	} {
 		c.Assert(lastEventID([]byte(text)), qt.Equals, id, qt.Commentf("%q", text))
 	}
 }
+
+func TestIsPartialEvent(t *testing.T) {
+	c := qt.New(t)
+	for text, partial := range map[string]bool{
+		"":                 false,
+		": comment\n":      false,
+		":\r\n: again\r\n": false,
+		"\n":               false,
+		": comm":           true,
+		"id: 1\n":          true,
+		": c\ndata: a\n":   true,
+		"data":             true,
+	} {
+		c.Assert(isPartialEvent([]byte(text)), qt.Equals, partial, qt.Commentf("%q", text))
+	}
+}
