gateway: the pace of streams is evidence on a version

Cause: only the begin of an answer was compared, and an answer that began in time counted as good at once.

Change: the relay reports the mean interval of a stream's first eight events (Paced), or of all of them. A stream counts as late above twice the old version's average, also while those events are overdue, and as good only once its pace is known. An answer that was counted as late and fails counts once.

--- a/internal/core/gateway/attempt.go
+++ b/internal/core/gateway/attempt.go
@@ -30,6 +30,14 @@
 	g.dispatchQueue(g.queue(r.service))
 }
 
+func (g *Gateway) paced(e Paced) {
+	r := g.requests[e.Conn]
+	if r == nil || r.attempt != e.Attempt || r.phase != phaseRunning || r.move != nil || r.continuesRun {
+		return
+	}
+	g.countPace(r, e.Interval)
+}
+
 func (g *Gateway) ended(e Ended) {
 	r := g.requests[e.Conn]
 	if r == nil || r.attempt != e.Attempt || r.phase != phaseRunning {
--- a/internal/core/gateway/event.go
+++ b/internal/core/gateway/event.go
@@ -47,6 +47,15 @@
 	Attempt int
 }
 
+// Paced reports the pace of a stream, measured at its first PaceEvents events, or
+// at all of them if it has ended with fewer, but at least two.
+type Paced struct {
+	Conn    uint64
+	Attempt int
+	// Interval is the mean time between two events.
+	Interval time.Duration
+}
+
 // Ended reports that an attempt has ended.
 type Ended struct {
 	Conn    uint64
@@ -270,6 +279,7 @@
 func (Tick) event()             {}
 func (Arrived) event()          {}
 func (Began) event()            {}
+func (Paced) event()            {}
 func (Ended) event()            {}
 func (Moved) event()            {}
 func (Expired) event()          {}
--- a/internal/core/gateway/evidence.go
+++ b/internal/core/gateway/evidence.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"monsoonlanding/internal/core/rollout"
+	"monsoonlanding/internal/core/route"
 )
 
 const (
@@ -13,11 +14,19 @@
 	slowFactor = 3
 	// minSlowLatency is the lower bound of the limit that slowFactor sets.
 	minSlowLatency = 100 * time.Millisecond
-	// beginLatencyWeight is the weight of the latest answer in the moving
-	// average.
-	beginLatencyWeight = 0.05
+	// slowPaceFactor is the multiple of the average interval between events above
+	// which a stream counts as late. Empty caches don't slow the events down.
+	slowPaceFactor = 2
+	// minSlowInterval is the lower bound of the limit that slowPaceFactor sets.
+	minSlowInterval = 10 * time.Millisecond
+	// averageWeight is the weight of the latest answer in the moving averages.
+	averageWeight = 0.05
 )
 
+// PaceEvents is the number of events at the begin of a stream from which its pace
+// is measured.
+const PaceEvents = 8
+
 // evidenceMark is how an attempt has been counted in the evidence on its
 // version.
 type evidenceMark string
@@ -28,15 +37,32 @@
 	countedLate evidenceMark = "late"
 )
 
-// beginLatency is a moving average of the time until a route's answers begin.
-type beginLatency struct{ mean time.Duration }
+// routePace holds the usual times of a route's answers.
+type routePace struct {
+	// begin is the time until an answer begins, interval the time between the
+	// events of a stream.
+	begin, interval movingAverage
+}
+
+// movingAverage is an exponentially weighted mean, 0 before the first value.
+type movingAverage struct{ mean time.Duration }
 
-func (l *beginLatency) observe(took time.Duration) {
-	if l.mean == 0 {
-		l.mean = took
+func (a *movingAverage) observe(took time.Duration) {
+	if a.mean == 0 {
+		a.mean = took
 		return
 	}
-	l.mean += time.Duration(beginLatencyWeight * float64(took-l.mean))
+	a.mean += time.Duration(averageWeight * float64(took-a.mean))
+}
+
+// pace returns the usual times of a route.
+func (g *Gateway) pace(route string) *routePace {
+	p := g.paces[route]
+	if p == nil {
+		p = &routePace{}
+		g.paces[route] = p
+	}
+	return p
 }
 
 // evidence returns the counts of the version that the request's upstream runs,
@@ -59,8 +85,8 @@
 // whichever is shorter. It returns 0 while neither is known.
 func (g *Gateway) lateAfter(r *request) time.Duration {
 	limit := r.route.LatencyGoal
-	if average := g.beginLatency[r.route.Name]; average != nil && average.mean > 0 {
-		slow := max(slowFactor*average.mean, minSlowLatency)
+	if mean := g.pace(r.route.Name).begin.mean; mean > 0 {
+		slow := max(slowFactor*mean, minSlowLatency)
 		if limit <= 0 || slow < limit {
 			limit = slow
 		}
@@ -68,39 +94,68 @@
 	return limit
 }
 
+// maxInterval returns the interval between events above which a stream of the
+// request's route counts as late, 0 while none is known.
+func (g *Gateway) maxInterval(r *request) time.Duration {
+	mean := g.pace(r.route.Name).interval.mean
+	if mean == 0 {
+		return 0
+	}
+	return max(slowPaceFactor*mean, minSlowInterval)
+}
+
 // countStart counts the beginning of an answer as evidence on its upstream's
-// version. Streams last long, those of a slow version longest, so their ends
-// come too late for a verdict. The average is the baseline for the new
-// version, so it does not include the new version's answers.
+// version. A stream that begins in time counts as good once its pace is known:
+// its end may come too late for a verdict.
 func (g *Gateway) countStart(r *request) {
 	took := r.beganAt.Sub(r.dispatchedAt)
-	g.countIfLate(r, took)
-	g.countGood(r)
-	if state := g.rollouts[r.service]; state != nil && g.evidence(r) == &state.newer {
-		return
+	g.countIfLate(r, took, g.lateAfter(r))
+	if r.route.Kind != route.KindStreaming {
+		g.countGood(r)
+	}
+	if !g.isNewVersion(r) {
+		g.pace(r.route.Name).begin.observe(took)
 	}
-	average := g.beginLatency[r.route.Name]
-	if average == nil {
-		average = &beginLatency{}
-		g.beginLatency[r.route.Name] = average
+}
+
+// countPace counts the pace of a stream as evidence on its upstream's version.
+func (g *Gateway) countPace(r *request, interval time.Duration) {
+	r.paced = true
+	g.countIfLate(r, interval, g.maxInterval(r))
+	g.countGood(r)
+	if !g.isNewVersion(r) {
+		g.pace(r.route.Name).interval.observe(interval)
 	}
-	average.observe(took)
+}
+
+// isNewVersion reports whether the request's upstream runs the new version of a
+// rollout. The usual times are the baseline for that version, so they don't
+// include its answers.
+func (g *Gateway) isNewVersion(r *request) bool {
+	state := g.rollouts[r.service]
+	return state != nil && g.evidence(r) == &state.newer
 }
 
 // countOverdue counts the running attempts at a service whose answers have not
-// begun in time.
+// begun in time, or whose first events have not come in time.
 func (g *Gateway) countOverdue(service string) {
 	for _, r := range g.requests {
-		if r.service == service && r.phase == phaseRunning && !r.began && !r.continuesRun && r.move == nil {
-			g.countIfLate(r, g.now.Sub(r.dispatchedAt))
+		if r.service != service || r.phase != phaseRunning || r.continuesRun || r.move != nil {
+			continue
+		}
+		switch {
+		case !r.began:
+			g.countIfLate(r, g.now.Sub(r.dispatchedAt), g.lateAfter(r))
+		case !r.paced && r.route.Kind == route.KindStreaming:
+			g.countIfLate(r, g.now.Sub(r.beganAt), (PaceEvents-1)*g.maxInterval(r))
 		}
 	}
 }
 
-// countIfLate counts an attempt as late, once, if it took too long to begin.
-func (g *Gateway) countIfLate(r *request, took time.Duration) {
+// countIfLate counts an attempt as late, once, if it took longer than a limit; 0
+// means that there is none.
+func (g *Gateway) countIfLate(r *request, took, limit time.Duration) {
 	evidence := g.evidence(r)
-	limit := g.lateAfter(r)
 	if evidence == nil || r.counted != notCounted || limit <= 0 || took <= limit {
 		return
 	}
@@ -117,7 +172,7 @@
 }
 
 // countEnd counts the end of an attempt as evidence on its upstream's version.
-// One that was counted as good and failed later counts as failed only.
+// One that was counted as good or late and failed later counts as failed only.
 func (g *Gateway) countEnd(r *request, result Result) {
 	evidence := g.evidence(r)
 	if evidence == nil || result.NotRun() || result == ResultAborted {
@@ -127,8 +182,11 @@
 		g.countGood(r)
 		return
 	}
-	if r.counted == countedGood && evidence.Good > 0 {
+	switch {
+	case r.counted == countedGood && evidence.Good > 0:
 		evidence.Good--
+	case r.counted == countedLate && evidence.Late > 0:
+		evidence.Late--
 	}
 	evidence.Failed++
 }
--- /dev/null
+++ b/internal/core/gateway/evidence_test.go
@@ -0,0 +1,227 @@
+package gateway
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"monsoonlanding/internal/core/placement"
+	"monsoonlanding/internal/core/rollout"
+)
+
+// streamPlay plays streams through a node during a rollout.
+type streamPlay struct {
+	*bench
+	rng *rand.Rand
+	// rate is the number of requests a second, factor the slowness of the new
+	// version.
+	rate, factor float64
+	// beginFloor is the part of the begin latency that does not depend on the
+	// version.
+	beginFloor time.Duration
+	// emptyCaches delays the begin of the new version's streams.
+	emptyCaches bool
+	// failing is the fraction of the old version's streams that fail.
+	failing float64
+	pending []timedEvent
+	newer   int
+}
+
+type timedEvent struct {
+	at    time.Time
+	event Event
+}
+
+const playTick = 50 * time.Millisecond
+
+func newStreamPlay(t *testing.T, seed uint64, rate, factor float64) *streamPlay {
+	p := &streamPlay{bench: newBench(t, "a"), rng: rand.New(rand.NewPCG(seed, 3)), rate: rate, factor: factor, beginFloor: 45 * time.Millisecond}
+	p.ready(versionedModel("m1", "v1"), versionedModel("m2", "v1"))
+	p.g.table.Services()[1].Engine.Slots = 100_000
+	p.g.table.Services()[1].Engine.MemoryTokens = 1_000_000_000
+	p.g.table.Teams()[0].Rate = 0
+	p.acquireLease()
+	return p
+}
+
+func versionedModel(id, version string) placement.Upstream {
+	u := up(id, "model")
+	u.Version = version
+	return u
+}
+
+// send sends a request and plans the events of its stream: 20 to 100 events, 10 to
+// 30 ms apart, times the factor at the new version.
+func (p *streamPlay) send() {
+	conn, effects := p.submit(Request{Path: "/plan/1", Key: "k", Prompt: placement.Prompt{InputTokens: 100, MaxOutputTokens: 300}})
+	var d Dispatch
+	for _, e := range effects {
+		if found, ok := e.(Dispatch); ok {
+			d = found
+		}
+	}
+	if d.Attempt == 0 {
+		return
+	}
+	factor := 1.0
+	if d.Upstream.Version == "v2" {
+		factor = p.factor
+		p.newer++
+	}
+	scale := func(d time.Duration) time.Duration { return time.Duration(factor * float64(d)) }
+	begin := p.now.Add(p.beginFloor + scale(time.Duration(p.rng.ExpFloat64()*float64(30*time.Millisecond))))
+	if p.emptyCaches && d.Upstream.Version == "v2" {
+		begin = begin.Add(75 * time.Millisecond)
+	}
+	interval := scale(10*time.Millisecond + time.Duration(p.rng.Int64N(int64(20*time.Millisecond))))
+	events := 20 + p.rng.IntN(80)
+	result := ResultComplete
+	if factor == 1 && p.rng.Float64() < p.failing {
+		result = ResultBroken
+	}
+	p.plan(begin, Began{Conn: conn, Attempt: d.Attempt})
+	p.plan(begin.Add((PaceEvents-1)*interval), Paced{Conn: conn, Attempt: d.Attempt, Interval: interval})
+	p.plan(begin.Add(time.Duration(events)*interval), Ended{Conn: conn, Attempt: d.Attempt, Result: result, AnswerSent: true})
+}
+
+func (p *streamPlay) plan(at time.Time, e Event) {
+	p.pending = append(p.pending, timedEvent{at, e})
+}
+
+// play plays for a duration and returns the last state written and when.
+func (p *streamPlay) play(d time.Duration) (state rollout.State, at time.Duration) {
+	start, due := p.now, 0.0
+	for end := p.now.Add(d); p.now.Before(end); {
+		p.now = p.now.Add(playTick)
+		for due += p.rate * playTick.Seconds(); due >= 1; due-- {
+			p.send()
+		}
+		remaining := p.pending[:0]
+		for _, e := range p.pending {
+			if p.now.Before(e.at) {
+				remaining = append(remaining, e)
+				continue
+			}
+			p.reduce(e.event)
+		}
+		p.pending = remaining
+		for _, e := range p.reduce(Tick{}) {
+			if w, ok := e.(WriteRollout); ok {
+				p.reduce(RolloutWritten{Order: w.Order, Done: true})
+				return w.Order.State, p.now.Sub(start)
+			}
+		}
+	}
+	return "", d
+}
+
+// order starts the new version's upstreams and orders the rollout.
+func (p *streamPlay) order() {
+	p.list(versionedModel("m1", "v1"), versionedModel("m2", "v1"), versionedModel("m3", "v2"), versionedModel("m4", "v2"))
+	p.reduce(RolloutsChanged{Orders: []rollout.Order{{Service: "model", Target: "v2", TimeLimit: 15 * time.Second, Revision: 3}}})
+}
+
+// rolloutPlays is the number of plays for each row of the tests of verdicts.
+var rolloutPlays = flag.Int("rollout.plays", 20, "plays for each kind of version and traffic")
+
+// versionRow is a kind of new version in a kind of traffic.
+type versionRow struct {
+	rate, factor, failing float64
+	// emptyCaches delays the begin of the new version's streams by as much as the
+	// usual ones take in all.
+	emptyCaches bool
+}
+
+func (row versionRow) String() string {
+	return fmt.Sprintf("%v requests/s, factor %v, old failing %v, empty caches %v", row.rate, row.factor, row.failing, row.emptyCaches)
+}
+
+// outcomes counts the verdicts of plays.
+type outcomes struct {
+	completed, late, reverted, none int
+	// exposure is the new version's share of the requests until the verdict.
+	meanExposure, maxExposure float64
+	meanTime                  time.Duration
+}
+
+// rolloutLimit is the time limit of the played rollouts; a play goes on for
+// graceTime after it.
+const (
+	rolloutLimit = 15 * time.Second
+	graceTime    = 10 * time.Second
+)
+
+func (row versionRow) play(t *testing.T) outcomes {
+	var o outcomes
+	for seed := range uint64(*rolloutPlays) {
+		p := newStreamPlay(t, seed, row.rate, row.factor)
+		p.failing, p.emptyCaches = row.failing, row.emptyCaches
+		p.play(5 * time.Second)
+		p.order()
+		state, at := p.play(rolloutLimit + graceTime)
+		switch {
+		case state == rollout.StateReverted:
+			o.reverted++
+		case state == "":
+			o.none++
+		case at > rolloutLimit:
+			o.late++
+		default:
+			o.completed++
+		}
+		exposure := float64(p.newer) / (row.rate * at.Seconds())
+		o.meanExposure += exposure / float64(*rolloutPlays)
+		o.maxExposure = max(o.maxExposure, exposure)
+		o.meanTime += at / time.Duration(*rolloutPlays)
+	}
+	t.Logf("%v: completed %d, late %d, reverted %d, none %d; exposure mean %.3f, max %.3f; mean time %.1f s",
+		row, o.completed, o.late, o.reverted, o.none, o.meanExposure, o.maxExposure, o.meanTime.Seconds())
+	return o
+}
+
+// TestSlowStreamsAreNotCompleted: a version whose streams take several times as
+// long shows it in the pace of their events, although most of them begin within
+// the limit and few have ended when the verdict is due.
+func TestSlowStreamsAreNotCompleted(t *testing.T) {
+	for _, rate := range []float64{15, 60} {
+		for _, factor := range []float64{3, 4, 8} {
+			for _, failing := range []float64{0, 0.2} {
+				row := versionRow{rate: rate, factor: factor, failing: failing}
+				o := row.play(t)
+				qt.Check(t, o.completed+o.late, qt.Equals, 0, qt.Commentf("%v", row))
+			}
+		}
+	}
+}
+
+// TestGoodStreamsAreCompleted: the same traffic with a version that is as good as
+// the old one. With few requests the verdict may be late, since the share that a
+// bad version may get gives too few answers in time.
+func TestGoodStreamsAreCompleted(t *testing.T) {
+	for _, rate := range []float64{15, 60} {
+		for _, row := range []versionRow{{factor: 1}, {factor: 1, failing: 0.2}, {factor: 1, emptyCaches: true}, {factor: 1.3}} {
+			row.rate = rate
+			o := row.play(t)
+			qt.Check(t, o.reverted <= *rolloutPlays/100, qt.IsTrue, qt.Commentf("%v", row))
+			if rate >= 60 && row.factor == 1 {
+				qt.Check(t, o.completed, qt.Equals, *rolloutPlays, qt.Commentf("%v", row))
+			}
+		}
+	}
+}
+
+// TestUnfinishedStreamsCountByTheirTime: the streams of a version that stop after
+// the first event count as late before they end.
+func TestUnfinishedStreamsCountByTheirTime(t *testing.T) {
+	p := newStreamPlay(t, 1, 60, 1000)
+	p.beginFloor = 0
+	p.play(5 * time.Second)
+	p.order()
+	state, at := p.play(15 * time.Second)
+	p.Assert(state, qt.Equals, rollout.StateReverted)
+	p.Assert(at < 8*time.Second, qt.IsTrue, qt.Commentf("%v", at))
+}
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -107,8 +107,8 @@
 	planners      map[string]*fleet.Planner
 	// rollouts holds the rollouts by service.
 	rollouts map[string]*rolloutState
-	// beginLatency averages the time until an answer begins, by route.
-	beginLatency map[string]*beginLatency
+	// paces holds the usual times of answers, by route.
+	paces map[string]*routePace
 	// work averages the engine time of this node's requests, by service.
 	work map[string]*workMeter
 
@@ -146,7 +146,7 @@
 		usage:         newUsage(cfg.Bounds.UsageWindow),
 		planners:      make(map[string]*fleet.Planner),
 		rollouts:      make(map[string]*rolloutState),
-		beginLatency:  make(map[string]*beginLatency),
+		paces:         make(map[string]*routePace),
 		work:          make(map[string]*workMeter),
 	}
 }
@@ -176,6 +176,8 @@
 		g.arrived(e)
 	case Began:
 		g.began(e)
+	case Paced:
+		g.paced(e)
 	case Ended:
 		g.ended(e)
 	case Moved:
--- a/internal/core/gateway/request.go
+++ b/internal/core/gateway/request.go
@@ -44,6 +44,8 @@
 	// a stopped run.
 	continuesRun bool
 	counted      evidenceMark
+	// paced is set once the pace of the current attempt's stream is known.
+	paced bool
 	// move is the transfer of the current attempt to another engine, nil if
 	// there is none.
 	move      *move
@@ -206,7 +208,7 @@
 	r.upstream = u.ID
 	r.began = false
 	r.dispatchedAt = g.now
-	r.continuesRun, r.counted = from != (KVCache{}), notCounted
+	r.continuesRun, r.counted, r.paced = from != (KVCache{}), notCounted, false
 	if r.attempt == 1 {
 		g.observe(TimeWaited, r)
 	}
--- a/internal/run/gateway/stream.go
+++ b/internal/run/gateway/stream.go
@@ -5,6 +5,7 @@
 	"io"
 	"mime"
 	"net/http"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -21,8 +22,8 @@
 
 // stream is the state of a streamed answer over all its attempts.
 type stream struct {
-	// attemptBegan is set when the current attempt has relayed an event.
-	attemptBegan bool
+	// attempt measures the current attempt.
+	attempt attemptPace
 	// lastID is the ID of the last event relayed.
 	lastID string
 	// partialBytes is the size of the incomplete event with which the current
@@ -33,7 +34,7 @@
 // relayEvents relays events as they arrive. It relays only complete events, so
 // that the stream can resume at another upstream after any of them.
 func (h *handler) relayEvents(answer *http1.Answer, d core.Dispatch) error {
-	h.stream.attemptBegan, h.stream.partialBytes = false, 0
+	h.stream.attempt, h.stream.partialBytes = attemptPace{}, 0
 	var pending []byte
 	buffer := make([]byte, readBufferBytes)
 	for {
@@ -64,10 +65,7 @@
 	if h.framing == "" {
 		h.writeHead(answer.Status(), answer.Header(), h.streamFraming(answer))
 	}
-	if !h.stream.attemptBegan {
-		h.stream.attemptBegan = true
-		h.runner.submit(core.Began{Conn: h.conn, Attempt: d.Attempt})
-	}
+	h.measure(d, events)
 	if id := lastEventID(events); id != "" {
 		h.stream.lastID = id
 	}
@@ -80,6 +78,49 @@
 	return nil
 }
 
+// attemptPace measures the pace of an attempt at its first events.
+type attemptPace struct {
+	events int
+	// first and last are when the first and the latest event arrived.
+	first, last time.Time
+	reported    bool
+}
+
+// interval returns the mean time between the events, 0 for fewer than two.
+func (p attemptPace) interval() time.Duration {
+	if p.events < 2 {
+		return 0
+	}
+	return p.last.Sub(p.first) / time.Duration(p.events-1)
+}
+
+// measure reports the begin of an attempt's stream, and its pace once that is
+// known.
+func (h *handler) measure(d core.Dispatch, events []byte) {
+	p := &h.stream.attempt
+	if p.reported {
+		return
+	}
+	p.last = h.runner.cfg.Clock.Now()
+	if p.first.IsZero() {
+		p.first = p.last
+		h.runner.submit(core.Began{Conn: h.conn, Attempt: d.Attempt})
+	}
+	p.events += countEvents(events)
+	if p.events >= core.PaceEvents {
+		h.reportPace(d)
+	}
+}
+
+// reportPace reports the pace of an attempt, once.
+func (h *handler) reportPace(d core.Dispatch) {
+	p := &h.stream.attempt
+	if interval := p.interval(); interval > 0 && !p.reported {
+		p.reported = true
+		h.runner.submit(core.Paced{Conn: h.conn, Attempt: d.Attempt, Interval: interval})
+	}
+}
+
 // streamFraming returns the framing of the caller's stream: that of the first
 // upstream's answer, with chunks in place of a length, since the stream may go on
 // at another upstream. HTTP/1.0 has no chunks.
@@ -97,6 +138,7 @@
 	case isPartialEvent(rest):
 		return errors.Wrap(errBrokenOff, "stream ended inside an event")
 	case h.framing != "" && len(rest) == 0:
+		h.reportPace(d)
 		return nil
 	case h.framing == "" && answer.Framing() == http1.FramingClose:
 		return errors.Wrap(errBrokenOff, "stream closed before its first event")
@@ -146,6 +188,15 @@
 	return end
 }
 
+// countEvents returns the number of complete events in b.
+func countEvents(b []byte) int {
+	n := 0
+	for _, eventEnd := range eventEnds {
+		n += bytes.Count(b, eventEnd)
+	}
+	return n
+}
+
 // lastEventID returns the ID of the last event that has one.
 func lastEventID(events []byte) string {
 	rest := events
--- a/internal/run/gateway/stream_test.go
+++ b/internal/run/gateway/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -54,3 +55,24 @@
 		c.Assert(isPartialEvent([]byte(text)), qt.Equals, partial, qt.Commentf("%q", text))
 	}
 }
+
+func TestCountEvents(t *testing.T) {
+	c := qt.New(t)
+	for text, n := range map[string]int{
+		"":                               0,
+		": comment\n":                    0,
+		"data: a\n\n":                    1,
+		"data: a\r\n\r\ndata: b\r\n\r\n": 2,
+		"data: a\r\rdata: b\r\r":         2,
+		"data: a\n\ndata: b":             1,
+	} {
+		c.Assert(countEvents([]byte(text)), qt.Equals, n, qt.Commentf("%q", text))
+	}
+}
+
+func TestPaceOfAttempt(t *testing.T) {
+	c := qt.New(t)
+	start := time.Unix(100, 0)
+	c.Assert(attemptPace{events: 1, first: start, last: start}.interval(), qt.Equals, time.Duration(0))
+	c.Assert(attemptPace{events: 5, first: start, last: start.Add(80 * time.Millisecond)}.interval(), qt.Equals, 20*time.Millisecond)
+}
