settings, run/gateway: checks of settings and parsing of events in files of their own

Two files had grown: settings.go held the settings and how any settings file is checked, stream.go the relay, the parsing of events and the pace. The checks of both kinds of settings are in checker.go now; the retention uses positiveDuration like the bounds.

--- /dev/null
+++ b/internal/run/gateway/events.go
@@ -0,0 +1,64 @@
+package gateway
+
+import "bytes"
+
+// isPartialEvent reports whether the bytes after the last event of a stream
+// belong to another event. Whole lines of comment don't.
+func isPartialEvent(rest []byte) bool {
+	if len(rest) > 0 && !isLineEnd(rune(rest[len(rest)-1])) {
+		return true
+	}
+	for _, line := range bytes.FieldsFunc(rest, isLineEnd) {
+		if line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
+// eventEnds are the ways in which an empty line ends an event; a line ends with
+// LF, CR LF or CR.
+var eventEnds = [][]byte{[]byte("\n\n"), []byte("\n\r\n"), []byte("\r\r")}
+
+var idField = []byte("id:")
+
+// lastEventEnd returns the length of the complete events at the start of b.
+func lastEventEnd(b []byte) int {
+	end := 0
+	for _, eventEnd := range eventEnds {
+		if i := bytes.LastIndex(b, eventEnd); i >= 0 {
+			end = max(end, i+len(eventEnd))
+		}
+	}
+	return end
+}
+
+// countEvents returns the number of complete events in b.
+func countEvents(b []byte) int {
+	n := 0
+	for _, eventEnd := range eventEnds {
+		n += bytes.Count(b, eventEnd)
+	}
+	return n
+}
+
+// lastEventID returns the ID of the last event that has one.
+func lastEventID(events []byte) string {
+	rest := events
+	for {
+		i := bytes.LastIndex(rest, idField)
+		if i < 0 {
+			return ""
+		}
+		if i == 0 || isLineEnd(rune(rest[i-1])) {
+			id := events[i+len(idField):]
+			if end := bytes.IndexFunc(id, isLineEnd); end >= 0 {
+				id = id[:end]
+			}
+			return string(bytes.TrimSpace(id))
+		}
+		rest = rest[:i]
+	}
+}
+
+func isLineEnd(r rune) bool { return r == '\n' || r == '\r' }
--- a/internal/run/gateway/stream.go
+++ b/internal/run/gateway/stream.go
@@ -1,11 +1,9 @@
 package gateway
 
 import (
-	"bytes"
 	"io"
 	"mime"
 	"net/http"
-	"time"
 
 	"github.com/go-faster/errors"
 
@@ -78,49 +76,6 @@
 	return nil
 }
 
-// attemptPace measures the pace of an attempt at its first events.
-type attemptPace struct {
-	events int
-	// first and last are when the first and the latest event arrived.
-	first, last time.Time
-	reported    bool
-}
-
-// interval returns the mean time between the events, 0 for fewer than two.
-func (p attemptPace) interval() time.Duration {
-	if p.events < 2 {
-		return 0
-	}
-	return p.last.Sub(p.first) / time.Duration(p.events-1)
-}
-
-// measure reports the begin of an attempt's stream, and its pace once that is
-// known.
-func (h *handler) measure(d core.Dispatch, events []byte) {
-	p := &h.stream.attempt
-	if p.reported {
-		return
-	}
-	p.last = h.runner.cfg.Clock.Now()
-	if p.first.IsZero() {
-		p.first = p.last
-		h.runner.submit(core.Began{Conn: h.conn, Attempt: d.Attempt})
-	}
-	p.events += countEvents(events)
-	if p.events >= core.PaceEvents {
-		h.reportPace(d)
-	}
-}
-
-// reportPace reports the pace of an attempt, once.
-func (h *handler) reportPace(d core.Dispatch) {
-	p := &h.stream.attempt
-	if interval := p.interval(); interval > 0 && !p.reported {
-		p.reported = true
-		h.runner.submit(core.Paced{Conn: h.conn, Attempt: d.Attempt, Interval: interval})
-	}
-}
-
 // streamFraming returns the framing of the caller's stream: that of the first
 // upstream's answer, with chunks in place of a length, since the stream may go on
 // at another upstream. HTTP/1.0 has no chunks.
@@ -156,64 +111,3 @@
 	mediaType, _, err := mime.ParseMediaType(contentType)
 	return err == nil && mediaType == "text/event-stream"
 }
-
-// isPartialEvent reports whether the bytes after the last event of a stream
-// belong to another event. Whole lines of comment don't.
-func isPartialEvent(rest []byte) bool {
-	if len(rest) > 0 && !isLineEnd(rune(rest[len(rest)-1])) {
-		return true
-	}
-	for _, line := range bytes.FieldsFunc(rest, isLineEnd) {
-		if line[0] != ':' {
-			return true
-		}
-	}
-	return false
-}
-
-// eventEnds are the ways in which an empty line ends an event; a line ends with
-// LF, CR LF or CR.
-var eventEnds = [][]byte{[]byte("\n\n"), []byte("\n\r\n"), []byte("\r\r")}
-
-var idField = []byte("id:")
-
-// lastEventEnd returns the length of the complete events at the start of b.
-func lastEventEnd(b []byte) int {
-	end := 0
-	for _, eventEnd := range eventEnds {
-		if i := bytes.LastIndex(b, eventEnd); i >= 0 {
-			end = max(end, i+len(eventEnd))
-		}
-	}
-	return end
-}
-
-// countEvents returns the number of complete events in b.
-func countEvents(b []byte) int {
-	n := 0
-	for _, eventEnd := range eventEnds {
-		n += bytes.Count(b, eventEnd)
-	}
-	return n
-}
-
-// lastEventID returns the ID of the last event that has one.
-func lastEventID(events []byte) string {
-	rest := events
-	for {
-		i := bytes.LastIndex(rest, idField)
-		if i < 0 {
-			return ""
-		}
-		if i == 0 || isLineEnd(rune(rest[i-1])) {
-			id := events[i+len(idField):]
-			if end := bytes.IndexFunc(id, isLineEnd); end >= 0 {
-				id = id[:end]
-			}
-			return string(bytes.TrimSpace(id))
-		}
-		rest = rest[:i]
-	}
-}
-
-func isLineEnd(r rune) bool { return r == '\n' || r == '\r' }
--- a/internal/run/settings/gateway.go
+++ b/internal/run/settings/gateway.go
@@ -124,9 +124,3 @@
 	}
 	c.checkLogLevel(s.Log)
 }
-
-func (c *checker) positiveDuration(key string, d Duration) {
-	if d.Duration <= 0 {
-		c.report(key, "must be more than zero")
-	}
-}
--- a/internal/run/settings/settings.go
+++ b/internal/run/settings/settings.go
@@ -2,15 +2,8 @@
 
 import (
 	"fmt"
-	"net"
-	"net/netip"
-	"net/url"
-	"strings"
 	"time"
 
-	"github.com/go-faster/errors"
-	"github.com/pelletier/go-toml/v2"
-	"github.com/pelletier/go-toml/v2/unstable"
 	"github.com/rs/zerolog"
 
 	"monsoonlanding/internal/core/node"
@@ -107,10 +100,6 @@
 	return fmt.Sprintf("line %d: %s: %s", p.Line, p.Key, p.Message)
 }
 
-// maxDecodePasses bounds the number of times that a file is decoded. Each pass
-// that fails reports at least one problem.
-const maxDecodePasses = 50
-
 // Parse reads a settings file and returns all its problems.
 func Parse(text string) (Settings, []Problem) {
 	c := checker{lines: keyLines(text)}
@@ -119,64 +108,6 @@
 	return *s, c.problems
 }
 
-// checker collects the problems of a file.
-type checker struct {
-	lines    map[string]int
-	problems []Problem
-}
-
-// report adds a problem of a key, unless the key has one already.
-func (c *checker) report(key, format string, args ...any) {
-	for _, p := range c.problems {
-		if p.Key == key {
-			return
-		}
-	}
-	c.problems = append(c.problems, Problem{Line: c.lines[key], Key: key, Message: fmt.Sprintf(format, args...)})
-}
-
-// decode decodes text into the defaults; newDefaults returns a pointer to a new
-// copy of them. A line with an error is reported and blanked, and the rest is
-// decoded again, so that all errors are reported.
-func (c *checker) decode(text string, newDefaults func() any) any {
-	lines := strings.Split(text, "\n")
-	for range maxDecodePasses {
-		s := newDefaults()
-		dec := toml.NewDecoder(strings.NewReader(strings.Join(lines, "\n"))).DisallowUnknownFields()
-		err := dec.Decode(s)
-		if err == nil {
-			return s
-		}
-		for _, line := range c.reportDecodeError(err) {
-			lines[line-1] = ""
-		}
-	}
-	return newDefaults()
-}
-
-// reportDecodeError reports a decoder's error and returns the lines that it
-// concerns.
-func (c *checker) reportDecodeError(err error) []int {
-	var strict *toml.StrictMissingError
-	if errors.As(err, &strict) {
-		var lines []int
-		for _, e := range strict.Errors {
-			line, _ := e.Position()
-			c.problems = append(c.problems, Problem{Line: line, Key: strings.Join(e.Key(), "."), Message: "unknown key"})
-			lines = append(lines, line)
-		}
-		return lines
-	}
-	var de *toml.DecodeError
-	if errors.As(err, &de) {
-		line, _ := de.Position()
-		c.problems = append(c.problems, Problem{Line: line, Key: strings.Join(de.Key(), "."), Message: strings.TrimPrefix(de.Error(), "toml: ")})
-		return []int{line}
-	}
-	c.problems = append(c.problems, Problem{Line: 1, Message: err.Error()})
-	return []int{1}
-}
-
 func defaults() *Settings {
 	d := node.DefaultConfig(node.Config{}.Self, 0)
 	return &Settings{
@@ -208,86 +139,9 @@
 	c.positive("limits.progress_tokens", s.Limits.ProgressTokens)
 	c.positive("limits.queue_count", s.Limits.QueueCount)
 	c.positive("limits.queue_bytes", s.Limits.QueueBytes)
-	if s.Limits.Retention.Duration <= 0 {
-		c.report("limits.retention", "must be more than zero")
-	}
+	c.positiveDuration("limits.retention", s.Limits.Retention)
 	if s.Alone != node.AloneRefuse && s.Alone != node.AloneAccept {
 		c.report("alone", `%q is neither "refuse" nor "accept"`, s.Alone)
 	}
 	c.checkLogLevel(s.Log)
 }
-
-func (c *checker) checkSeeds(p Peers) {
-	for _, seed := range p.Seeds {
-		c.address("peers.seeds", seed)
-	}
-}
-
-func (c *checker) checkLogLevel(l Log) {
-	if _, err := zerolog.ParseLevel(l.Level); err != nil {
-		c.report("log.level", "%q is no log level", l.Level)
-	}
-}
-
-func (c *checker) required(key, value string) {
-	if value == "" {
-		c.report(key, "is required")
-	}
-}
-
-func (c *checker) positive(key string, value int) {
-	if value <= 0 {
-		c.report(key, "must be more than zero")
-	}
-}
-
-func (c *checker) address(key, value string) {
-	if value == "" {
-		c.report(key, "is required")
-		return
-	}
-	host, _, err := net.SplitHostPort(value)
-	if err != nil {
-		c.report(key, "%q is not IP:port", value)
-		return
-	}
-	if _, err := netip.ParseAddr(host); err != nil {
-		c.report(key, "%q is not an IP number", host)
-	}
-}
-
-func (c *checker) baseURL(key, value string) {
-	if value == "" {
-		c.report(key, "is required")
-		return
-	}
-	u, err := url.Parse(value)
-	if err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
-		c.report(key, "%q is no http URL", value)
-	}
-}
-
-// keyLines returns the line number of each key, by its full dotted name.
-func keyLines(text string) map[string]int {
-	lines := make(map[string]int)
-	p := unstable.Parser{}
-	p.Reset([]byte(text))
-	table := ""
-	for p.NextExpression() {
-		e := p.Expression()
-		var parts []string
-		line := 0
-		for it := e.Key(); it.Next(); {
-			parts = append(parts, string(it.Node().Data))
-			line = p.Shape(it.Node().Raw).Start.Line
-		}
-		key := strings.Join(parts, ".")
-		switch e.Kind {
-		case unstable.Table:
-			table = key + "."
-		case unstable.KeyValue:
-			lines[table+key] = line
-		}
-	}
-	return lines
-}
