standin/engine: answers that are cut in order, and a cluster test that plays them

The product's own interface was played only with engines that abort their chunks. With the fault "cut" an engine answers without length or chunks and closes the connection in order inside a done event. TestStreamsCutInOrderAreContinued sends 20 requests: all answers are whole, continued at the other engine. No fault was found there: an engine's answer ends with its done event.

--- a/cmd/monsoonlanding/local.go
+++ b/cmd/monsoonlanding/local.go
@@ -167,7 +167,7 @@
 	cmd := &cobra.Command{
 		Use:     "engine",
 		Short:   "Run the stand-in for a model engine",
-		Long:    `Run the stand-in for a model engine. POST /control sets a fault: {"fault": "leaving"}, "error", "stall", "crash", "gap" or "".`,
+		Long:    `Run the stand-in for a model engine. POST /control sets a fault: {"fault": "leaving"}, "error", "stall", "crash", "cut", "gap" or "".`,
 		Example: "  monsoonlanding standin engine --listen 127.0.0.1:7910 --first-token 50ms",
 		Args:    cobra.NoArgs,
 		RunE:    func(*cobra.Command, []string) error { return listenAndServe(listen, engine.New(cfg)) },
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -64,6 +64,9 @@
 	FaultCrash Fault = "crash"
 	// FaultGap omits one token of one answer.
 	FaultGap Fault = "gap"
+	// FaultCut answers without length or chunks and closes the connections in
+	// order in the middle of an event.
+	FaultCut Fault = "cut"
 )
 
 // Config sets an engine's capacity and latency.
@@ -173,13 +176,18 @@
 		http.Error(w, "internal error", http.StatusInternalServerError)
 		return
 	}
-	e.stream(w, r, g)
+	e.stream(w, r, g, fault)
 }
 
-func (e *Engine) stream(w http.ResponseWriter, r *http.Request, g upstreamhttp.Generate) {
+// stream answers a request; initial is the fault with which the request began.
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, g upstreamhttp.Generate, initial Fault) {
 	tokens := Answer(g.Body)
 	controller := http.NewResponseController(w)
 	w.Header().Set("Content-Type", "text/event-stream")
+	if initial == FaultCut {
+		// net/http then marks the end of the answer by the end of the connection only.
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
 	// The client receives the headers at once and so knows that the request runs.
 	_ = controller.Flush()
 	wait := e.cfg.FirstTokenLatency
@@ -188,6 +196,10 @@
 			return
 		}
 		wait = e.cfg.EventInterval
+		if initial == FaultCut && offset > len(g.Tokens) {
+			_, _ = io.WriteString(w, "event: "+upstreamhttp.EventDone+"\ndata: {\"count\":")
+			return
+		}
 		end := min(offset+e.cfg.TokensPerEvent, len(tokens))
 		if !writeEvent(w, upstreamhttp.EventToken, upstreamhttp.Token{Offset: offset, Tokens: tokens[offset:end]}) || controller.Flush() != nil {
 			return
--- a/internal/tool/cluster/cluster_test.go
+++ b/internal/tool/cluster/cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -136,6 +137,26 @@
 	qt.Assert(t, strings.Contains(text, `"offset":0`), qt.IsFalse)
 }
 
+// TestStreamsCutInOrderAreContinued: an engine answers without length or chunks
+// and closes each connection in order inside an event. Its answers go on at the
+// other engine, and callers receive all tokens.
+func TestStreamsCutInOrderAreContinued(t *testing.T) {
+	c := startCluster(t, time.Millisecond)
+	c.Engine(0).Engine.SetFault(engine.FaultCut)
+	for i := range 20 {
+		key := fmt.Sprintf("cut-%d", i)
+		header := map[string]string{"Authorization": "Bearer " + TeamKey("crew"), "Idempotency-Key": key}
+		body := fmt.Sprintf(`{"prompt": %q, "max_tokens": 30}`, key)
+		resp, text := do(t, http.MethodPost, "http://"+c.CallerAddresses()[i%3]+"/v1/services/plans/requests", header, body)
+		qt.Assert(t, resp.StatusCode, qt.Equals, http.StatusOK, qt.Commentf("%s", text))
+		var d callerhttp.Document
+		qt.Assert(t, json.Unmarshal([]byte(text), &d), qt.IsNil)
+		qt.Assert(t, d.Text, qt.Equals, strings.Join(engine.Answer([]byte(body)), ""))
+	}
+	started, _ := c.Engine(0).Engine.Runs()
+	qt.Assert(t, started > 0, qt.IsTrue)
+}
+
 // TestStopCompletesAnswers stops a node while it streams an answer: the answer
 // is complete, and the node is no longer in the list of addresses.
 func TestStopCompletesAnswers(t *testing.T) {
