--- a/internal/run/gateway/answer_end_test.go
+++ b/internal/run/gateway/answer_end_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"testing"
 
@@ -193,3 +194,28 @@
 	whole := rawhttp.Answer{Head: streamHead + rawhttp.Chunked, Body: rawhttp.Chunk(threeEvents) + rawhttp.Chunk("")}
 	c.Assert(readRaw(c, "HTTP/1.0", false, whole), qt.IsNil)
 }
+
+// TestCutRequestIsRefused: a request whose body ends early is not sent to an
+// upstream, whose answer would belong to another request.
+func TestCutRequestIsRefused(t *testing.T) {
+	for name, request := range map[string]string{
+		"length": "Content-Length: 10\r\n\r\nabc",
+		"chunks": rawhttp.Chunked + "\r\n" + rawhttp.Chunk("abc"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			var runs atomic.Int32
+			server, _ := newTestNode(c, func(http.ResponseWriter, *http.Request) { runs.Add(1) })
+			conn, err := net.Dial("tcp", server.Listener.Addr().String())
+			c.Assert(err, qt.IsNil)
+			defer func() { _ = conn.Close() }()
+			_, err = io.WriteString(conn, "POST "+unsafePath+" HTTP/1.1\r\nHost: h\r\n"+request)
+			c.Assert(err, qt.IsNil)
+			c.Assert(conn.(*net.TCPConn).CloseWrite(), qt.IsNil)
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			c.Assert(err, qt.IsNil)
+			c.Assert(resp.StatusCode, qt.Equals, http.StatusBadRequest)
+			c.Assert(runs.Load(), qt.Equals, int32(0))
+		})
+	}
+}
