gateway: what is no event stream is not appended to a stream that has begun

What callers would see: a stream that broke and was resumed, followed by the document or the 404 with which the second upstream answered, framed as complete.

Cause: the relay chose by the answer alone and not by what the caller had received.

Change: once a stream has begun, an answer that is no event stream is garbled; the request is sent again or aborted. The count of partial bytes starts anew with each attempt.

Evidence: TestResumedStreamTakesEventsOnly fails before in both rows and passes now.

--- a/internal/run/gateway/answer_end_test.go
+++ b/internal/run/gateway/answer_end_test.go
@@ -219,3 +219,17 @@
 		})
 	}
 }
+
+// TestResumedStreamTakesEventsOnly: what is no event stream is not appended to a
+// stream that has begun.
+func TestResumedStreamTakesEventsOnly(t *testing.T) {
+	broken := rawhttp.Answer{Head: streamHead + rawhttp.Chunked, Body: rawhttp.Chunk(threeEvents)}
+	rest := rawhttp.Answer{Head: streamHead + rawhttp.Chunked, Body: rawhttp.Chunk(event(4)) + rawhttp.Chunk("")}
+	want := received{200, "chunks", threeEvents + event(4), true}
+	for name, second := range map[string]rawhttp.Answer{
+		"document":   {Head: plainHead + rawhttp.Length(len(document)), Body: document},
+		"status 404": {Head: "HTTP/1.1 404 Not Found\r\n" + streamHead + rawhttp.Length(len(document)), Body: document},
+	} {
+		answerEnd{name, resumePath, []rawhttp.Answer{broken, second, rest}, want}.run(t)
+	}
+}
--- a/internal/run/gateway/attempt.go
+++ b/internal/run/gateway/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net/http"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -47,6 +46,7 @@
 
 // exchange sends the request, relays the answer and returns the result.
 func (h *handler) exchange(ctx context.Context, d core.Dispatch, remaining time.Duration) core.Ended {
+	h.stream.partialBytes = 0
 	answer, err := h.runner.upstreams.Do(ctx, d.Upstream.Address, &http1.Request{
 		Method: h.r.Method,
 		Target: h.r.RequestURI,
@@ -72,11 +72,14 @@
 			h.runner.log.Debug().Str("step", "attempt").Str("request", h.request.ID).Err(err).Msg("body of refusal not read")
 		}
 		return ended
-	case d.Streaming && answer.Status() == http.StatusOK && isEventStream(answer.Header()):
+	case d.Streaming && isEventStream(answer):
 		err = h.relayEvents(answer, d)
 		if answer.Framing() == http1.FramingClose {
 			ended.Result = core.ResultClosed
 		}
+	case h.framing != "":
+		err = errors.Wrapf(errMalformed, "got status %d and type %q, expected the rest of a stream",
+			answer.Status(), answer.Header().Get("Content-Type"))
 	default:
 		err = h.relayBuffered(answer, d)
 	}
--- a/internal/run/gateway/stream.go
+++ b/internal/run/gateway/stream.go
@@ -32,7 +32,7 @@
 // relayEvents relays events as they arrive. It relays only complete events, so
 // that the stream can resume at another upstream after any of them.
 func (h *handler) relayEvents(answer *http1.Answer, d core.Dispatch) error {
-	h.stream.attempt, h.stream.partialBytes = attemptPace{}, 0
+	h.stream.attempt = attemptPace{}
 	var pending []byte
 	buffer := make([]byte, readBufferBytes)
 	for {
@@ -102,9 +102,12 @@
 }
 
 // isEventStream reports whether an answer on a streaming route consists of
-// events. An answer that names no type does.
-func isEventStream(header http.Header) bool {
-	contentType := header.Get("Content-Type")
+// events. A good answer that names no type does.
+func isEventStream(answer *http1.Answer) bool {
+	if answer.Status() != http.StatusOK {
+		return false
+	}
+	contentType := answer.Header().Get("Content-Type")
 	if contentType == "" {
 		return true
 	}
