standin/rawhttp: one call starts a server for the time of a test

Eight tests each checked the error and closed the server by themselves. Start takes the test and does both. The rows of the tests are the same, and pass.

--- a/internal/run/gateway/answer_end_test.go
+++ b/internal/run/gateway/answer_end_test.go
@@ -21,13 +21,6 @@
 	plainHead  = "Content-Type: application/json\r\n"
 )
 
-func startRawUpstream(c *qt.C, answers ...rawhttp.Answer) string {
-	address, stop, err := rawhttp.Start(answers...)
-	c.Assert(err, qt.IsNil)
-	c.Cleanup(stop)
-	return address
-}
-
 // received is an answer as the caller sees it.
 type received struct {
 	status  int
@@ -39,7 +32,7 @@
 
 // request sends a request to a node with one upstream and reads the answer.
 func request(c *qt.C, path string, answers ...rawhttp.Answer) received {
-	server := serveNode(c, newTestRunner(startRawUpstream(c, answers...)))
+	server := serveNode(c, newTestRunner(rawhttp.Start(c, answers...)))
 	resp, err := get(c, context.Background(), server, path)
 	c.Assert(err, qt.IsNil)
 	defer func() { _ = resp.Body.Close() }()
@@ -165,7 +158,7 @@
 // readRaw sends a request over a connection of its own and returns how reading
 // the answer ended; closeNode closes the node's server in the middle of it.
 func readRaw(c *qt.C, version string, closeNode bool, answer rawhttp.Answer) error {
-	server := serveNode(c, newTestRunner(startRawUpstream(c, answer)))
+	server := serveNode(c, newTestRunner(rawhttp.Start(c, answer)))
 	conn, err := net.Dial("tcp", server.Listener.Addr().String())
 	c.Assert(err, qt.IsNil)
 	defer func() { _ = conn.Close() }()
--- a/internal/standin/rawhttp/rawhttp.go
+++ b/internal/standin/rawhttp/rawhttp.go
@@ -4,8 +4,7 @@
 //
 // # Usage
 //
-//	address, stop, err := rawhttp.Start(rawhttp.Answer{Head: "Content-Length: 9\r\n", Body: "cut"})
-//	defer stop()
+//	address := rawhttp.Start(t, rawhttp.Answer{Head: rawhttp.Length(9), Body: "cut"})
 package rawhttp
 
 import (
@@ -44,13 +43,20 @@
 	Reset bool
 }
 
+// Test is what Start needs of a test.
+type Test interface {
+	Cleanup(f func())
+	Fatal(args ...any)
+}
+
 // Start serves one answer per connection, the last one repeatedly, on a loopback
-// address until stop is called.
-func Start(answers ...Answer) (address string, stop func(), err error) {
+// address until the test ends.
+func Start(t Test, answers ...Answer) (address string) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return "", nil, err
+		t.Fatal("listen for raw answers:", err)
 	}
+	t.Cleanup(func() { _ = l.Close() })
 	go func() {
 		for i := 0; ; i++ {
 			conn, err := l.Accept()
@@ -60,7 +66,7 @@
 			go answers[min(i, len(answers)-1)].serve(conn.(*net.TCPConn))
 		}
 	}()
-	return l.Addr().String(), func() { _ = l.Close() }, nil
+	return l.Addr().String()
 }
 
 // serve reads one request, answers it and ends the connection.
--- a/internal/wire/callerhttp/handler_test.go
+++ b/internal/wire/callerhttp/handler_test.go
@@ -169,13 +169,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			node, stop, err := rawhttp.Start(cut, rawhttp.Answer{Head: stream + rawhttp.Unmarked, Body: rest(cut, token) + done})
-			c.Assert(err, qt.IsNil)
-			defer stop()
+			node := rawhttp.Start(c, cut, rawhttp.Answer{Head: stream + rawhttp.Unmarked, Body: rest(cut, token) + done})
 			list := `{"ttl_seconds":60,"addresses":[{"address":"` + node + `"}]}`
-			seed, stopSeed, err := rawhttp.Start(rawhttp.Answer{Head: rawhttp.Unmarked, Body: list})
-			c.Assert(err, qt.IsNil)
-			defer stopSeed()
+			seed := rawhttp.Start(c, rawhttp.Answer{Head: rawhttp.Unmarked, Body: list})
 			client := NewClient([]string{seed}, "key", &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, clock.System{})
 			result, err := client.Do(context.Background(), Call{Service: "plans", Key: "k", Timeout: 5 * time.Second}, nil)
 			c.Assert(err, qt.IsNil)
--- a/internal/wire/cloudhttp/client_test.go
+++ b/internal/wire/cloudhttp/client_test.go
@@ -11,9 +11,7 @@
 )
 
 func newClient(c *qt.C, body string) *Client {
-	address, stop, err := rawhttp.Start(rawhttp.Answer{Head: rawhttp.Unmarked, Body: body})
-	c.Assert(err, qt.IsNil)
-	c.Cleanup(stop)
+	address := rawhttp.Start(c, rawhttp.Answer{Head: rawhttp.Unmarked, Body: body})
 	return New("http://"+address, "token", http.DefaultClient)
 }
 
--- a/internal/wire/objecthttp/client_test.go
+++ b/internal/wire/objecthttp/client_test.go
@@ -13,9 +13,7 @@
 )
 
 func newClient(c *qt.C, answer rawhttp.Answer) *Client {
-	address, stop, err := rawhttp.Start(answer)
-	c.Assert(err, qt.IsNil)
-	c.Cleanup(stop)
+	address := rawhttp.Start(c, answer)
 	return New("http://"+address, "token", http.DefaultClient)
 }
 
--- a/internal/wire/operatorhttp/client_test.go
+++ b/internal/wire/operatorhttp/client_test.go
@@ -12,9 +12,7 @@
 )
 
 func newTestClient(c *qt.C, answer rawhttp.Answer) *Client {
-	address, stop, err := rawhttp.Start(answer)
-	c.Assert(err, qt.IsNil)
-	c.Cleanup(stop)
+	address := rawhttp.Start(c, answer)
 	return NewClient(address, "token", http.DefaultClient)
 }
 
--- a/internal/wire/upstreamhttp/client_test.go
+++ b/internal/wire/upstreamhttp/client_test.go
@@ -146,9 +146,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			address, stop, err := rawhttp.Start(test.answer)
-			c.Assert(err, qt.IsNil)
-			defer stop()
+			address := rawhttp.Start(c, test.answer)
 			e := runAt(address, test.kind)
 			failed, isFailed := e.(node.UpstreamFailed)
 			c.Assert(isFailed, qt.Equals, test.cause != "", qt.Commentf("%+v", e))
@@ -162,10 +160,8 @@
 	for body, whole := range map[string]bool{`{"running":3,"waiting":1}`: true, `{"running":3`: false, "": false, "null": false} {
 		t.Run(body, func(t *testing.T) {
 			c := qt.New(t)
-			address, stop, err := rawhttp.Start(rawhttp.Answer{Head: rawhttp.Unmarked, Body: body})
-			c.Assert(err, qt.IsNil)
-			defer stop()
-			_, err = New(http.DefaultClient).Load(context.Background(), upstream.Upstream{Address: address}, time.Now())
+			address := rawhttp.Start(c, rawhttp.Answer{Head: rawhttp.Unmarked, Body: body})
+			_, err := New(http.DefaultClient).Load(context.Background(), upstream.Upstream{Address: address}, time.Now())
 			c.Assert(err == nil, qt.Equals, whole, qt.Commentf("%v", err))
 		})
 	}
