--- a/internal/core/gateway/evidence_test.go
+++ b/internal/core/gateway/evidence_test.go
@@ -58,13 +58,8 @@
 // 30 ms apart, times the factor at the new version.
 func (p *streamPlay) send() {
 	conn, effects := p.submit(Request{Path: "/plan/1", Key: "k", Prompt: placement.Prompt{InputTokens: 100, MaxOutputTokens: 300}})
-	var d Dispatch
-	for _, e := range effects {
-		if found, ok := e.(Dispatch); ok {
-			d = found
-		}
-	}
-	if d.Attempt == 0 {
+	d, ok := findDispatch(effects)
+	if !ok {
 		return
 	}
 	factor := 1.0
--- a/internal/core/gateway/helper_test.go
+++ b/internal/core/gateway/helper_test.go
@@ -109,13 +109,11 @@
 // dispatch returns the first Dispatch among the effects.
 func (b *bench) dispatch(effects []Effect) Dispatch {
 	b.Helper()
-	for _, e := range effects {
-		if d, ok := e.(Dispatch); ok {
-			return d
-		}
+	d, ok := findDispatch(effects)
+	if !ok {
+		b.Fatalf("no dispatch in %v", effects)
 	}
-	b.Fatalf("no dispatch in %v", effects)
-	return Dispatch{}
+	return d
 }
 
 // refusal returns the reason of the Refuse or Abort among the effects, with the
