--- a/internal/core/gateway/evidence_test.go
+++ b/internal/core/gateway/evidence_test.go
@@ -25,10 +25,15 @@
 	beginFloor time.Duration
 	// emptyCaches delays the begin of the new version's streams.
 	emptyCaches bool
-	// failing is the fraction of the old version's streams that fail.
-	failing float64
+	// failing and newFailing are the fractions of the old and of the new version's
+	// streams that fail.
+	failing, newFailing float64
+	// burst is when three times the requests arrive for burstTime, and all engines
+	// take twice as long; zero for never.
+	burst   time.Time
 	pending []timedEvent
-	newer   int
+	// sent counts the requests, newer those of them at the new version.
+	sent, newer int
 }
 
 type timedEvent struct {
@@ -36,7 +41,14 @@
 	event Event
 }
 
-const playTick = 50 * time.Millisecond
+const (
+	playTick  = 50 * time.Millisecond
+	burstTime = 8 * time.Second
+)
+
+func (p *streamPlay) inBurst() bool {
+	return !p.burst.IsZero() && !p.now.Before(p.burst) && p.now.Before(p.burst.Add(burstTime))
+}
 
 func newStreamPlay(t *testing.T, seed uint64, rate, factor float64) *streamPlay {
 	p := &streamPlay{bench: newBench(t, "a"), rng: rand.New(rand.NewPCG(seed, 3)), rate: rate, factor: factor, beginFloor: 45 * time.Millisecond}
@@ -57,6 +69,7 @@
 // send sends a request and plans the events of its stream: 20 to 100 events, 10 to
 // 30 ms apart, times the factor at the new version.
 func (p *streamPlay) send() {
+	p.sent++
 	conn, effects := p.submit(Request{Path: "/plan/1", Key: "k", Prompt: placement.Prompt{InputTokens: 100, MaxOutputTokens: 300}})
 	d, ok := findDispatch(effects)
 	if !ok {
@@ -67,6 +80,9 @@
 		factor = p.factor
 		p.newer++
 	}
+	if p.inBurst() {
+		factor *= 2
+	}
 	scale := func(d time.Duration) time.Duration { return time.Duration(factor * float64(d)) }
 	begin := p.now.Add(p.beginFloor + scale(time.Duration(p.rng.ExpFloat64()*float64(30*time.Millisecond))))
 	if p.emptyCaches && d.Upstream.Version == "v2" {
@@ -75,7 +91,11 @@
 	interval := scale(10*time.Millisecond + time.Duration(p.rng.Int64N(int64(20*time.Millisecond))))
 	events := 20 + p.rng.IntN(80)
 	result := ResultComplete
-	if factor == 1 && p.rng.Float64() < p.failing {
+	failing := p.failing
+	if d.Upstream.Version == "v2" {
+		failing = p.newFailing
+	}
+	if p.rng.Float64() < failing {
 		result = ResultBroken
 	}
 	p.plan(begin, Began{Conn: conn, Attempt: d.Attempt})
@@ -92,7 +112,11 @@
 	start, due := p.now, 0.0
 	for end := p.now.Add(d); p.now.Before(end); {
 		p.now = p.now.Add(playTick)
-		for due += p.rate * playTick.Seconds(); due >= 1; due-- {
+		rate := p.rate
+		if p.inBurst() {
+			rate *= 3
+		}
+		for due += rate * playTick.Seconds(); due >= 1; due-- {
 			p.send()
 		}
 		remaining := p.pending[:0]
@@ -125,14 +149,17 @@
 
 // versionRow is a kind of new version in a kind of traffic.
 type versionRow struct {
-	rate, factor, failing float64
+	rate, factor, failing, newFailing float64
 	// emptyCaches delays the begin of the new version's streams by as much as the
 	// usual ones take in all.
 	emptyCaches bool
+	// burst plays a burst 3 s after the order.
+	burst bool
 }
 
 func (row versionRow) String() string {
-	return fmt.Sprintf("%v requests/s, factor %v, old failing %v, empty caches %v", row.rate, row.factor, row.failing, row.emptyCaches)
+	return fmt.Sprintf("%v requests/s, factor %v, failing %v and %v, empty caches %v, burst %v",
+		row.rate, row.factor, row.failing, row.newFailing, row.emptyCaches, row.burst)
 }
 
 // outcomes counts the verdicts of plays.
@@ -154,9 +181,13 @@
 	var o outcomes
 	for seed := range uint64(*rolloutPlays) {
 		p := newStreamPlay(t, seed, row.rate, row.factor)
-		p.failing, p.emptyCaches = row.failing, row.emptyCaches
+		p.failing, p.newFailing, p.emptyCaches = row.failing, row.newFailing, row.emptyCaches
 		p.play(5 * time.Second)
 		p.order()
+		if row.burst {
+			p.burst = p.now.Add(3 * time.Second)
+		}
+		sent := p.sent
 		state, at := p.play(rolloutLimit + graceTime)
 		switch {
 		case state == rollout.StateReverted:
@@ -168,7 +199,7 @@
 		default:
 			o.completed++
 		}
-		exposure := float64(p.newer) / (row.rate * at.Seconds())
+		exposure := float64(p.newer) / float64(p.sent-sent)
 		o.meanExposure += exposure / float64(*rolloutPlays)
 		o.maxExposure = max(o.maxExposure, exposure)
 		o.meanTime += at / time.Duration(*rolloutPlays)
@@ -184,8 +215,8 @@
 func TestSlowStreamsAreNotCompleted(t *testing.T) {
 	for _, rate := range []float64{15, 60} {
 		for _, factor := range []float64{3, 4, 8} {
-			for _, failing := range []float64{0, 0.2} {
-				row := versionRow{rate: rate, factor: factor, failing: failing}
+			for _, row := range []versionRow{{}, {failing: 0.2}, {burst: true}} {
+				row.rate, row.factor = rate, factor
 				o := row.play(t)
 				qt.Check(t, o.completed+o.late, qt.Equals, 0, qt.Commentf("%v", row))
 			}
@@ -198,7 +229,14 @@
 // bad version may get gives too few answers in time.
 func TestGoodStreamsAreCompleted(t *testing.T) {
 	for _, rate := range []float64{15, 60} {
-		for _, row := range []versionRow{{factor: 1}, {factor: 1, failing: 0.2}, {factor: 1, emptyCaches: true}, {factor: 1.3}} {
+		for _, row := range []versionRow{
+			{factor: 1},
+			{factor: 1, failing: 0.2},
+			{factor: 1, failing: 0.2, newFailing: 0.2},
+			{factor: 1, emptyCaches: true},
+			{factor: 1, burst: true},
+			{factor: 1.3},
+		} {
 			row.rate = rate
 			o := row.play(t)
 			qt.Check(t, o.reverted <= *rolloutPlays/100, qt.IsTrue, qt.Commentf("%v", row))
