--- a/internal/run/gateway/doc.go
+++ b/internal/run/gateway/doc.go
@@ -13,6 +13,13 @@
 // immediately. The handlers relay the bytes of answers; the reducer never sees
 // them.
 //
+// # Ends of answers
+//
+// An answer whose only mark of its end is the close of the connection may have been
+// cut. It reaches the caller without a mark as well, and until it has ended here, a
+// close of the caller's connection is a reset. A stream that ends inside an event is
+// broken in any framing. docs/ANSWER-ENDS.md has all cases.
+//
 // # Usage
 //
 //	r, err := gateway.New(gateway.Config{Settings: s, Protocol: protocol, ...})
--- a/internal/wire/http1/answer.go
+++ b/internal/wire/http1/answer.go
@@ -61,7 +61,8 @@
 	}
 }
 
-// Read reads the body. It returns io.EOF at the end of a complete body.
+// Read reads the body. It returns io.EOF at its end, which proves that the body is
+// complete only if the framing marks it.
 func (a *Answer) Read(b []byte) (int, error) {
 	n, err := a.response.Body.Read(b)
 	switch {
--- a/internal/wire/http1/doc.go
+++ b/internal/wire/http1/doc.go
@@ -15,6 +15,11 @@
 // the pool reuses a connection, it checks that the connection is still open and
 // has no unread bytes.
 //
+// # Ends of answers
+//
+// Read returns io.EOF at the end that the answer's framing gives. With FramingClose
+// that is an orderly close of the connection, which a crashed upstream causes, too.
+//
 // # Usage
 //
 //	pool := http1.New(http1.Config{Clock: clock})
