run/gateway: tests of answer ends that do not depend on short times

The rows with a reset gave the relay 50 ms to read what was sent, and rows of documents had a route with a timeout of 200 ms: a busy machine could have failed them. The delay is 250 ms, the route's timeout 5 s; the expectations are the same. The answer that a closing node interrupts is now held open, so that the node and not the upstream ends it.

--- a/internal/run/gateway/answer_end_test.go
+++ b/internal/run/gateway/answer_end_test.go
@@ -55,7 +55,7 @@
 	oncePath   = "/d/1"
 	resumePath = "/s/1"
 	safePath   = "/q/1"
-	unsafePath = "/t/1"
+	unsafePath = "/o/1"
 )
 
 var (
@@ -180,7 +180,7 @@
 // close of the connection is reset if the node ends it for another reason.
 func TestCloseWithoutFinishResetsCaller(t *testing.T) {
 	c := qt.New(t)
-	open := rawhttp.Answer{Head: streamHead + rawhttp.Unmarked, Body: threeEvents, Reset: true}
+	open := rawhttp.Answer{Head: streamHead + rawhttp.Unmarked, Body: threeEvents, Hold: true}
 	c.Assert(readRaw(c, "HTTP/1.1", true, open), qt.ErrorIs, syscall.ECONNRESET)
 	cut := rawhttp.Answer{Head: streamHead + rawhttp.Chunked, Body: rawhttp.Chunk(threeEvents)}
 	c.Assert(readRaw(c, "HTTP/1.0", false, cut), qt.ErrorIs, syscall.ECONNRESET)
--- a/internal/run/gateway/relay_bench_test.go
+++ b/internal/run/gateway/relay_bench_test.go
@@ -73,6 +73,7 @@
 			{Name: "stream", Host: "h", PathPrefix: "/s/", Kind: route.KindStreaming, Resumable: true, Timeout: 5 * time.Second, LatencyGoal: time.Second, Attempts: 3, Targets: []route.Target{{Service: "s"}}},
 			{Name: "draft", Host: "h", PathPrefix: "/d/", Kind: route.KindStreaming, Timeout: 5 * time.Second, LatencyGoal: time.Second, Attempts: 1, Targets: []route.Target{{Service: "s"}}},
 			{Name: "query", Host: "h", PathPrefix: "/q/", Kind: route.KindSafe, Timeout: 5 * time.Second, LatencyGoal: time.Second, Attempts: 3, Targets: []route.Target{{Service: "s"}}},
+			{Name: "order", Host: "h", PathPrefix: "/o/", Kind: route.KindUnsafe, Timeout: 5 * time.Second, LatencyGoal: time.Second, Attempts: 1, Targets: []route.Target{{Service: "s"}}},
 			{Name: "book", Host: "h", PathPrefix: "/t/", Kind: route.KindUnsafe, Timeout: 200 * time.Millisecond, LatencyGoal: 100 * time.Millisecond, Attempts: 1, Targets: []route.Target{{Service: "s"}}},
 		},
 		Services: []route.Service{{Name: "s"}},
--- a/internal/standin/rawhttp/rawhttp.go
+++ b/internal/standin/rawhttp/rawhttp.go
@@ -32,15 +32,16 @@
 func Chunk(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
 
 // resetDelay lets an answer arrive before a reset discards what is unread.
-const resetDelay = 50 * time.Millisecond
+const resetDelay = 250 * time.Millisecond
 
 // Answer is an answer and how its connection ends.
 type Answer struct {
 	// Head has the header lines; a status line is added unless it has one.
 	Head string
 	Body string
-	// Reset ends the connection with a reset instead of an orderly close.
-	Reset bool
+	// Reset ends the connection with a reset instead of an orderly close, Hold keeps
+	// it open until the test ends.
+	Reset, Hold bool
 }
 
 // Test is what Start needs of a test.
@@ -56,21 +57,26 @@
 	if err != nil {
 		t.Fatal("listen for raw answers:", err)
 	}
-	t.Cleanup(func() { _ = l.Close() })
+	over := make(chan struct{})
+	t.Cleanup(func() {
+		_ = l.Close()
+		close(over)
+	})
 	go func() {
 		for i := 0; ; i++ {
 			conn, err := l.Accept()
 			if err != nil {
 				return
 			}
-			go answers[min(i, len(answers)-1)].serve(conn.(*net.TCPConn))
+			go answers[min(i, len(answers)-1)].serve(conn.(*net.TCPConn), over)
 		}
 	}()
 	return l.Addr().String()
 }
 
-// serve reads one request, answers it and ends the connection.
-func (a Answer) serve(conn *net.TCPConn) {
+// serve reads one request, answers it and ends the connection, at the latest when
+// the test is over.
+func (a Answer) serve(conn *net.TCPConn, over <-chan struct{}) {
 	defer func() { _ = conn.Close() }()
 	req, err := http.ReadRequest(bufio.NewReader(conn))
 	if err != nil {
@@ -82,6 +88,9 @@
 		head = "HTTP/1.1 200 OK\r\n" + head
 	}
 	_, _ = io.WriteString(conn, head+"\r\n"+a.Body)
+	if a.Hold {
+		<-over
+	}
 	if a.Reset {
 		time.Sleep(resetDelay)
 		_ = conn.SetLinger(0)
