--- a/internal/core/gateway/evidence_test.go
+++ b/internal/core/gateway/evidence_test.go
@@ -32,6 +32,8 @@
 	// take twice as long; zero for never.
 	burst   time.Time
 	pending []timedEvent
+	// due is the part of a request that is due at the next tick.
+	due float64
 	// sent counts the requests, newer those of them at the new version.
 	sent, newer int
 }
@@ -50,13 +52,12 @@
 	return !p.burst.IsZero() && !p.now.Before(p.burst) && p.now.Before(p.burst.Add(burstTime))
 }
 
-func newStreamPlay(t *testing.T, seed uint64, rate, factor float64) *streamPlay {
-	p := &streamPlay{bench: newBench(t, "a"), rng: rand.New(rand.NewPCG(seed, 3)), rate: rate, factor: factor, beginFloor: 45 * time.Millisecond}
+func newStreamPlay(t *testing.T, node string, seed uint64, rate, factor float64) *streamPlay {
+	p := &streamPlay{bench: newBench(t, node), rng: rand.New(rand.NewPCG(seed, 3)), rate: rate, factor: factor, beginFloor: 45 * time.Millisecond}
 	p.ready(versionedModel("m1", "v1"), versionedModel("m2", "v1"))
 	p.g.table.Services()[1].Engine.Slots = 100_000
 	p.g.table.Services()[1].Engine.MemoryTokens = 1_000_000_000
 	p.g.table.Teams()[0].Rate = 0
-	p.acquireLease()
 	return p
 }
 
@@ -109,33 +110,47 @@
 
 // play plays for a duration and returns the last state written and when.
 func (p *streamPlay) play(d time.Duration) (state rollout.State, at time.Duration) {
-	start, due := p.now, 0.0
+	start := p.now
 	for end := p.now.Add(d); p.now.Before(end); {
-		p.now = p.now.Add(playTick)
-		rate := p.rate
-		if p.inBurst() {
-			rate *= 3
-		}
-		for due += rate * playTick.Seconds(); due >= 1; due-- {
-			p.send()
+		if state := p.step(nil); state != "" {
+			return state, p.now.Sub(start)
 		}
-		remaining := p.pending[:0]
-		for _, e := range p.pending {
-			if p.now.Before(e.at) {
-				remaining = append(remaining, e)
-				continue
-			}
-			p.reduce(e.event)
+	}
+	return "", d
+}
+
+// step plays one tick and returns the state of the rollout if it was written. send
+// gets the messages to peers unless it is nil.
+func (p *streamPlay) step(send func(Send)) (state rollout.State) {
+	p.now = p.now.Add(playTick)
+	rate := p.rate
+	if p.inBurst() {
+		rate *= 3
+	}
+	for p.due += rate * playTick.Seconds(); p.due >= 1; p.due-- {
+		p.send()
+	}
+	remaining := p.pending[:0]
+	for _, e := range p.pending {
+		if p.now.Before(e.at) {
+			remaining = append(remaining, e)
+			continue
 		}
-		p.pending = remaining
-		for _, e := range p.reduce(Tick{}) {
-			if w, ok := e.(WriteRollout); ok {
-				p.reduce(RolloutWritten{Order: w.Order, Done: true})
-				return w.Order.State, p.now.Sub(start)
+		p.reduce(e.event)
+	}
+	p.pending = remaining
+	for _, e := range p.reduce(Tick{}) {
+		switch e := e.(type) {
+		case WriteRollout:
+			p.reduce(RolloutWritten{Order: e.Order, Done: true})
+			state = e.Order.State
+		case Send:
+			if send != nil {
+				send(e)
 			}
 		}
 	}
-	return "", d
+	return state
 }
 
 // order starts the new version's upstreams and orders the rollout.
@@ -180,7 +195,8 @@
 func (row versionRow) play(t *testing.T) outcomes {
 	var o outcomes
 	for seed := range uint64(*rolloutPlays) {
-		p := newStreamPlay(t, seed, row.rate, row.factor)
+		p := newStreamPlay(t, "a", seed, row.rate, row.factor)
+		p.acquireLease()
 		p.failing, p.newFailing, p.emptyCaches = row.failing, row.newFailing, row.emptyCaches
 		p.play(5 * time.Second)
 		p.order()
@@ -250,7 +266,8 @@
 // TestUnfinishedStreamsCountByTheirTime: the streams of a version that stop after
 // the first event count as late before they end.
 func TestUnfinishedStreamsCountByTheirTime(t *testing.T) {
-	p := newStreamPlay(t, 1, 60, 1000)
+	p := newStreamPlay(t, "a", 1, 60, 1000)
+	p.acquireLease()
 	p.beginFloor = 0
 	p.play(5 * time.Second)
 	p.order()
@@ -258,3 +275,55 @@
 	p.Assert(state, qt.Equals, rollout.StateReverted)
 	p.Assert(at < 8*time.Second, qt.IsTrue, qt.Commentf("%v", at))
 }
+
+// partitionPlay plays a rollout at two nodes that have no contact for most of it,
+// and returns the state that the lease holder wrote, and when.
+func partitionPlay(t *testing.T, seed uint64, factor float64) (rollout.State, time.Duration) {
+	const rate = 30
+	holder, other := newStreamPlay(t, "a", seed, rate, factor), newStreamPlay(t, "b", seed+1000, rate, factor)
+	holder.acquireLease()
+	other.now = holder.now
+	holder.receive(status("b"))
+	other.receive(status("a"))
+	ordered := holder.now.Add(5 * time.Second)
+	for holder.now.Before(ordered.Add(rolloutLimit + graceTime)) {
+		if holder.now.Equal(ordered) {
+			holder.order()
+			other.order()
+		}
+		since := holder.now.Sub(ordered)
+		cut := since > time.Second && since < rolloutLimit-time.Second
+		pass := func(from, to *streamPlay) func(Send) {
+			return func(e Send) {
+				if !cut {
+					to.reduce(PeerReceived{From: from.g.cfg.Node, Message: e.Message})
+				}
+			}
+		}
+		other.step(pass(other, holder))
+		if state := holder.step(pass(holder, other)); state != "" {
+			return state, holder.now.Sub(ordered)
+		}
+	}
+	return "", rolloutLimit + graceTime
+}
+
+// TestVerdictBesideAPartition: the lease holder decides on the counts of the nodes
+// that it has heard; a slow version is not completed for want of the others'.
+func TestVerdictBesideAPartition(t *testing.T) {
+	for _, factor := range []float64{1, 3, 8} {
+		states := make(map[rollout.State]int)
+		var total time.Duration
+		for seed := range uint64(*rolloutPlays) {
+			state, at := partitionPlay(t, seed, factor)
+			states[state]++
+			total += at
+		}
+		t.Logf("factor %v: %v, mean time %.1f s", factor, states, total.Seconds()/float64(*rolloutPlays))
+		if factor == 1 {
+			qt.Check(t, states[rollout.StateReverted] <= *rolloutPlays/100, qt.IsTrue)
+			continue
+		}
+		qt.Check(t, states[rollout.StateComplete], qt.Equals, 0)
+	}
+}
