rollout: a version that fails on one route is not completed

What callers would get: a version that fails half of the requests of one route, a tenth of all, completed if by chance fewer have failed by the deadline.

A failure costs its caller the answer, a late one does not.

Change: an excess of 0.1 of failures must be ruled out. That takes 38 answers without a failure instead of 20, so the larger share to prove it begins 5 s before the deadline.

Evidence: TestVersionThatFailsOnOneRouteIsNotCompleted fails before for 3 to 7 failures and passes now. TestNoVersionCompletesWithoutEvidence took 20 answers for enough; it now asks for more, and checks that 20 are not. TestLowTrafficCompletesInTime holds unchanged.

--- a/internal/core/rollout/compare.go
+++ b/internal/core/rollout/compare.go
@@ -8,11 +8,13 @@
 	// revert.
 	failedTolerance = 0.02
 	lateTolerance   = 0.05
-	// maxExcess is the excess that must be ruled out before a rollout is completed.
-	maxExcess = 0.2
+	// maxFailedExcess and maxLateExcess are the excesses that must be ruled out
+	// before a rollout is completed.
+	maxFailedExcess = 0.1
+	maxLateExcess   = 0.2
 	// worseLevel and soundLevel are the error rates of the two tests: of one look
-	// at a version that is within the tolerance, and of completing one whose
-	// excess is maxExcess. The counts are looked at again with each answer, so
+	// at a version that is within the tolerance, and of completing one that has the
+	// excess to be ruled out. The counts are looked at again with each answer, so
 	// worseLevel is the smaller one.
 	worseLevel = 0.001
 	soundLevel = 0.02
@@ -32,7 +34,7 @@
 	// were within the tolerance, for the kind of bad answer for which it is lower.
 	Worse float64
 	// Sound is the probability of at most as many bad answers if the new version
-	// exceeded the old one by maxExcess, for the kind for which it is higher.
+	// had the excess to be ruled out, for the kind for which it is higher.
 	Sound float64
 }
 
@@ -42,8 +44,8 @@
 	c := Comparison{
 		Worse: 1,
 		Sound: max(
-			atMost(newer.Failed, newer.Total(), failed+maxExcess),
-			atMost(newer.Late, newer.Total(), late+maxExcess)),
+			atMost(newer.Failed, newer.Total(), failed+maxFailedExcess),
+			atMost(newer.Late, newer.Total(), late+maxLateExcess)),
 	}
 	if newer.Failed >= minFailed {
 		c.Worse = min(c.Worse, atLeast(newer.Failed, newer.Total(), failed+failedTolerance))
@@ -61,8 +63,8 @@
 // IsSuspect reports whether the new version may well be worse.
 func (c Comparison) IsSuspect() bool { return c.Worse < suspectLevel }
 
-// IsSound reports whether the new version is proved to be no worse than the old
-// one by maxExcess, so that the rollout may be completed.
+// IsSound reports whether it is proved that the new version is not much worse than
+// the old one, so that the rollout may be completed.
 func (c Comparison) IsSound() bool { return !c.IsWorse() && c.Sound < soundLevel }
 
 // fraction estimates a fraction from counts, by the rule of succession, so that
--- a/internal/core/rollout/rollout.go
+++ b/internal/core/rollout/rollout.go
@@ -68,9 +68,10 @@
 	// minAnswers is the minimum number of answers of the new version to complete
 	// a rollout.
 	minAnswers = 20
-	// unprovenShare is the new version's share of requests from switchLead before
+	// unprovenShare is the new version's share of requests from provingLead before
 	// the deadline on, also past it, while its answers prove too little.
 	unprovenShare = 0.3
+	provingLead   = 5 * time.Second
 	// switchLead is the time before the deadline at which the new version gets
 	// all requests.
 	switchLead = 1800 * time.Millisecond
@@ -92,7 +93,7 @@
 	left := v.TimeLimit - now.Sub(v.OrderedAt)
 	proven := v.New.Total() >= minAnswers && compared.IsSound()
 	switch {
-	case !proven && left <= switchLead && !compared.IsSuspect():
+	case !proven && left <= provingLead && !compared.IsSuspect():
 		return Decision{Share: unprovenShare}
 	case !proven:
 		return Decision{Share: trialShare}
--- a/internal/core/rollout/rollout_test.go
+++ b/internal/core/rollout/rollout_test.go
@@ -96,8 +96,12 @@
 	for _, passed := range []time.Duration{11 * time.Second, 13 * time.Second} {
 		c.Assert(Decide(epoch.Add(passed), v), qt.Equals, Decision{Share: unprovenShare})
 	}
+	// Twenty good answers don't rule out that one in ten fails; forty do.
 	v.New.Good = minAnswers
 	decision := Decide(epoch.Add(14*time.Second), v)
+	c.Assert(decision, qt.Equals, Decision{Share: unprovenShare})
+	v.New.Good = 2 * minAnswers
+	decision = Decide(epoch.Add(14*time.Second), v)
 	c.Assert(decision.Verdict, qt.Equals, StateComplete)
 	v.New.Failed = minAnswers
 	decision = Decide(epoch.Add(14*time.Second), v)
--- a/internal/core/rollout/verdict_test.go
+++ b/internal/core/rollout/verdict_test.go
@@ -27,3 +27,14 @@
 		})
 	}
 }
+
+// TestVersionThatFailsOnOneRouteIsNotCompleted: half of the requests of one route
+// fail, a tenth of all; by chance fewer than that have failed by the deadline.
+func TestVersionThatFailsOnOneRouteIsNotCompleted(t *testing.T) {
+	c := qt.New(t)
+	for failed := int64(3); failed <= 8; failed++ {
+		v := View{OrderedAt: epoch, TimeLimit: 15 * time.Second, New: Evidence{Good: 75 - failed, Failed: failed}, Old: Evidence{Good: 900}}
+		decision := Decide(epoch.Add(v.TimeLimit-verdictLead), v)
+		c.Assert(decision.Verdict, qt.Not(qt.Equals), StateComplete, qt.Commentf("%d failed", failed))
+	}
+}
