gateway: prompt parts and content of attempts that broke are logged

The end line of a broken attempt now has both, and whether the answer had begun. Other ends log as before.

--- a/internal/core/gateway/attempt.go
+++ b/internal/core/gateway/attempt.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"strconv"
+
 	"monsoonlanding/internal/core/placement"
 	"monsoonlanding/internal/core/route"
 )
@@ -51,9 +53,7 @@
 	if e.Framing != "" {
 		g.count(CountAnswer, string(e.Framing))
 	}
-	g.logRequest(r, "end", string(e.Result), "upstream", r.upstream, "attempt", r.attempt,
-		"age_ms", g.now.Sub(r.arrived).Milliseconds(), "detail", e.Detail,
-		"framing", string(e.Framing), "partial", e.PartialBytes)
+	g.logEnd(r, e)
 	if r.move == nil {
 		g.countEnd(r, e.Result)
 	}
@@ -76,6 +76,21 @@
 	g.dispatchQueue(g.queue(r.service))
 }
 
+// logEnd logs the end of an attempt. If the connection broke, the line has what the
+// request shares with others, to find out whether it crashed the upstream.
+func (g *Gateway) logEnd(r *request, e Ended) {
+	inputs := []any{
+		"upstream", r.upstream, "attempt", r.attempt,
+		"age_ms", g.now.Sub(r.arrived).Milliseconds(), "detail", e.Detail,
+		"framing", string(e.Framing), "partial", e.PartialBytes,
+	}
+	if e.Result == ResultBroken {
+		inputs = append(inputs, "began", r.began, "parts", r.req.Prompt.PartIDs(),
+			"content", strconv.FormatUint(r.req.Fingerprint, 16))
+	}
+	g.logRequest(r, "end", string(e.Result), inputs...)
+}
+
 // completed ends a request whose answer has been relayed.
 func (g *Gateway) completed(r *request) {
 	g.suspects.clear(r.req.Fingerprint)
--- a/internal/core/placement/cache.go
+++ b/internal/core/placement/cache.go
@@ -84,3 +84,12 @@
 	}
 	return tokens
 }
+
+// PartIDs returns the IDs of the prompt's parts in order.
+func (p Prompt) PartIDs() []string {
+	ids := make([]string, 0, len(p.Parts))
+	for _, part := range p.Parts {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
