emulator: failing test of a prompt part that crashes engines

Engines crash when they begin to answer a request with a given part; no two of the requests are the same, sound ones share the team and the other parts. The crash shows in one of three ways at the node: nothing, the head, or an event of the answer.

An engine's crash now ends all attempts there, those under way included; engines cache all shared parts of a prompt instead of the first.

--- a/internal/tool/emulator/caller.go
+++ b/internal/tool/emulator/caller.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"monsoonlanding/internal/core/gateway"
@@ -16,6 +17,8 @@
 	// eagerRetryDelay is the retry delay of callers that ignore the delay given
 	// in the refusal.
 	eagerRetryDelay = 20 * time.Millisecond
+	// groupTokens is the size of a part that comes before the prefixes.
+	groupTokens = 300
 )
 
 // scheduleArrivals schedules the callers of the whole run, as a Poisson process
@@ -36,6 +39,9 @@
 			s.at(c.firstSubmitted, func() { s.submit(c) })
 		}
 	}
+	if s.pattern.CrashingPart != nil {
+		s.scheduleCrashingCallers(s.pattern.CrashingPart)
+	}
 }
 
 func (s *simulation) newCaller(k Kind, at time.Duration) *caller {
@@ -67,11 +73,18 @@
 	if s.rng.Float64() < s.pattern.HotPrefix {
 		prefix = hotPrefixID(k.Route)
 	}
+	parts := []placement.Part{{ID: prefix, Tokens: k.SharedTokens}}
+	if k.Groups > 0 {
+		group := placement.Part{ID: fmt.Sprint(k.Route, "/group-", s.rng.IntN(k.Groups)), Tokens: groupTokens}
+		parts = slices.Insert(parts, 0, group)
+	}
 	ownTokens := int(float64(k.OwnTokens) * math.Exp(promptSizeSigma*s.rng.NormFloat64()-promptSizeSigma*promptSizeSigma/2))
-	return placement.Prompt{
-		InputTokens: k.SharedTokens + ownTokens, MaxOutputTokens: k.OutputTokens, OutputEstimate: k.OutputTokens,
-		Parts: []placement.Part{{ID: prefix, Tokens: k.SharedTokens}, {ID: fmt.Sprint("own-", s.rng.Uint64()), Tokens: ownTokens}},
+	parts = append(parts, placement.Part{ID: fmt.Sprint("own-", s.rng.Uint64()), Tokens: ownTokens})
+	p := placement.Prompt{MaxOutputTokens: k.OutputTokens, OutputEstimate: k.OutputTokens, Parts: parts}
+	for _, part := range parts {
+		p.InputTokens += part.Tokens
 	}
+	return p
 }
 
 // hotPrefixID returns the ID of the shared prefix that a pattern's hot requests
@@ -99,6 +112,9 @@
 	c.request.ID = fmt.Sprint("request-", conn)
 	s.pending[conn] = c
 	s.oracle.submitted(s.now, s.routes[c.kind.Route].Targets[0].Service)
+	if c.retries == 0 {
+		s.oracle.crashing.submitted(c)
+	}
 	node := s.nodes[c.node]
 	s.reduce(c.node, gateway.Arrived{Conn: conn, Request: c.request})
 	s.after(callerTimeout, func() {
@@ -116,10 +132,10 @@
 	s.oracle.arrived(s.now, u.Service, d.Attempt)
 	switch {
 	case u.crashed:
-		s.after(messageLatency, func() { s.attemptEnded(d.Conn, c, gateway.ResultUnreachable) })
+		s.after(messageLatency, func() { s.attemptEnded(d.Conn, c, gateway.Ended{Result: gateway.ResultUnreachable}) })
 		return
 	case u.full(), s.rng.Float64() < s.pattern.RefusedFraction:
-		s.after(2*messageLatency, func() { s.attemptEnded(d.Conn, c, gateway.ResultFull) })
+		s.after(2*messageLatency, func() { s.attemptEnded(d.Conn, c, gateway.Ended{Result: gateway.ResultFull}) })
 		return
 	}
 	c.runsOn = u
@@ -131,15 +147,31 @@
 	begin, end, prefilled := u.accept(s.now.Add(messageLatency), c.request.Prompt)
 	s.countPrefill(u, c.request.Prompt, prefilled)
 	current := func() bool { return s.pending[d.Conn] == c && c.runsOn == u && !u.crashed }
+	if s.pattern.CrashingPart != nil && hasPart(c.request.Prompt, crashingPartID) {
+		s.oracle.crashing.arrived(s.now)
+		s.at(begin, func() {
+			if current() {
+				s.crashBy(d.Conn, c, u)
+			}
+		})
+		return
+	}
 	s.at(begin.Add(messageLatency), func() {
 		if current() {
 			s.answerBegan(c)
 			s.reduce(node, gateway.Began{Conn: d.Conn, Attempt: d.Attempt})
 		}
 	})
+	if paced := begin.Add(paceTime); paced.Before(end) && u.cached != nil {
+		s.at(paced.Add(messageLatency), func() {
+			if current() {
+				s.reduce(node, gateway.Paced{Conn: d.Conn, Attempt: d.Attempt, Interval: paceTime / gateway.PaceEvents})
+			}
+		})
+	}
 	s.at(end.Add(messageLatency), func() {
 		if current() {
-			s.attemptEnded(d.Conn, c, result)
+			s.attemptEnded(d.Conn, c, gateway.Ended{Result: result, Framing: gateway.FramingChunks})
 		}
 	})
 }
@@ -163,6 +195,7 @@
 	if c.done {
 		return
 	}
+	s.oracle.crashing.began(c)
 	c.done = true
 	latency := s.now.Sub(c.firstSubmitted)
 	for _, t := range []*Tally{s.report.Kinds[c.kind.Route], s.report.Teams[c.team], s.secondTally(c)} {
@@ -174,8 +207,8 @@
 	}
 }
 
-// attemptEnded notifies the node that an attempt has ended.
-func (s *simulation) attemptEnded(conn uint64, c *caller, result gateway.Result) {
+// attemptEnded notifies the node that an attempt has ended as given.
+func (s *simulation) attemptEnded(conn uint64, c *caller, ended gateway.Ended) {
 	if s.pending[conn] != c {
 		return
 	}
@@ -184,10 +217,11 @@
 		c.runsOn = nil
 	}
 	if s.setup.Result != nil {
-		result = s.setup.Result(result)
+		ended.Result = s.setup.Result(ended.Result)
 	}
-	s.reduce(c.node, gateway.Ended{Conn: conn, Attempt: c.attempt, Result: result, AnswerSent: c.done})
-	if result == gateway.ResultComplete {
+	ended.Conn, ended.Attempt, ended.AnswerSent = conn, c.attempt, c.done
+	s.reduce(c.node, ended)
+	if ended.Result == gateway.ResultComplete {
 		s.reduce(c.node, gateway.HandlerEnded{Conn: conn})
 		delete(s.pending, conn)
 	}
--- a/internal/tool/emulator/engine.go
+++ b/internal/tool/emulator/engine.go
@@ -14,6 +14,8 @@
 	// each request in the batch; tokenTimePerRequest is added per request.
 	tokenTime           = 3820 * time.Microsecond
 	tokenTimePerRequest = 23 * time.Microsecond
+	// paceTime is the time from the begin of an answer until its pace is known.
+	paceTime = 200 * time.Millisecond
 	// firstEventDelay is the latency from the end of prefill to the first event.
 	firstEventDelay = 36 * time.Millisecond
 	// engineSlots bounds the requests in a batch, engineMemoryTokens their
@@ -71,8 +73,10 @@
 		return u.acceptPlain(now)
 	}
 	prefilled = p.InputTokens
-	for _, part := range p.Parts[:1] {
-		if lastUsed, ok := u.cached[part.ID]; ok && now.Sub(lastUsed) < cacheRetention {
+	cached := true
+	for _, part := range p.Parts[:len(p.Parts)-1] {
+		lastUsed, ok := u.cached[part.ID]
+		if cached = cached && ok && now.Sub(lastUsed) < cacheRetention; cached {
 			prefilled -= part.Tokens
 		}
 		u.cached[part.ID] = now
--- a/internal/tool/emulator/oracle.go
+++ b/internal/tool/emulator/oracle.go
@@ -24,6 +24,7 @@
 	// not they reached an upstream; retries holds the times at which attempts
 	// after the first reached one.
 	submissions, retries map[string][]time.Time
+	crashing             crashingOracle
 	violations           []string
 }
 
@@ -106,6 +107,7 @@
 func (o *oracle) end(callers []*caller) []string {
 	o.checkQuotas()
 	o.checkRetryBudget()
+	o.checkCrashing()
 	for _, c := range callers {
 		if !c.done {
 			o.violated("%s was neither answered, refused nor aborted", c.request.ID)
--- a/internal/tool/emulator/pattern.go
+++ b/internal/tool/emulator/pattern.go
@@ -14,6 +14,9 @@
 	SharedTokens, OwnTokens, OutputTokens int
 	// Prefixes is the number of different shared prefixes.
 	Prefixes int
+	// Groups, if above 0, is the number of different parts of groupTokens tokens
+	// that come before the prefix.
+	Groups int
 	// LatencyGoal is the latency to the first event within which an answer is in time.
 	LatencyGoal time.Duration
 	// Value is the value of an answer in time, relative to other kinds; a late
@@ -52,6 +55,8 @@
 	// BrokenFraction is the fraction of runs whose answer breaks off,
 	// RefusedFraction the fraction of dispatched requests that upstreams refuse.
 	BrokenFraction, RefusedFraction float64
+	// CrashingPart is a prompt part that crashes engines; nil for none.
+	CrashingPart *CrashingPart
 	// RestartAt is when all nodes restart without state; zero is never.
 	RestartAt time.Duration
 }
--- a/internal/tool/emulator/run.go
+++ b/internal/tool/emulator/run.go
@@ -139,6 +139,7 @@
 	config := s.config()
 	// The guarantees do not depend on the bounds that are set for the nodes.
 	s.oracle = newOracle(defaultBounds, config.Teams)
+	s.oracle.crashing = crashingOracle{part: pattern.CrashingPart, begun: make(map[*caller]bool)}
 	s.routes = make(map[string]route.Route)
 	for _, r := range config.Routes {
 		s.routes[r.Name] = r
@@ -258,19 +259,35 @@
 
 func (s *simulation) crashEngines() {
 	for _, u := range s.upstreams[:s.pattern.CrashedEngines] {
-		u.crashed = true
+		s.crash(u)
 	}
-	for _, conn := range s.pendingConns() {
-		c := s.pending[conn]
-		if c.runsOn != nil && c.runsOn.crashed {
-			s.after(crashDetectionDelay, func() { s.attemptEnded(conn, c, gateway.ResultBroken) })
+	s.after(upstreamListDelay, s.sendUpstreamLists)
+}
+
+// crash ends all attempts at an upstream.
+func (s *simulation) crash(u *upstream) {
+	u.crashed = true
+	var conns []uint64
+	for conn, c := range s.pending {
+		if c.runsOn == u {
+			conns = append(conns, conn)
 		}
 	}
-	s.after(upstreamListDelay, func() {
-		for i := range s.nodes {
-			s.sendUpstreamList(i)
+	slices.Sort(conns)
+	for _, conn := range conns {
+		c := s.pending[conn]
+		ended := gateway.Ended{Result: gateway.ResultBroken}
+		if c.done {
+			ended.Framing = gateway.FramingChunks
 		}
-	})
+		s.after(crashDetectionDelay, func() { s.attemptEnded(conn, c, ended) })
+	}
+}
+
+func (s *simulation) sendUpstreamLists() {
+	for i := range s.nodes {
+		s.sendUpstreamList(i)
+	}
 }
 
 // pendingConns returns the connections of callers whose answer has not begun,
