gateway: a prompt part that crashes engines is kept from them

Requests with one part in their prompts were sent to engines 25 times more after five had ended under it.

Cause: crashes were counted by the whole content of a request only, and no two of these requests were the same. Class: evidence kept at one granularity, while the cause lies at another one. An aborted attempt also cleared the count, though it proves nothing.

Change: package quarantine holds the evidence of all nodes on the traits of requests: each prompt part that others may share, and the content. A broken attempt counts against its traits if its answer had not gone on for a while; if some answer at the crash had begun without an event, its neighbours don't count. A process that answers afterwards has not crashed. Runs that go on beyond their begin count for their traits. Traits that share crashes compete for them, so that a part which sound requests share is not blamed for the one that follows it. A part is quarantined at three crashes, a content at two as before. Waiting requests and retries are refused as well. A minute after the last crash one node lets one request through, later ones after longer times.

Weighed: counting crashes per part without competition (refuses all requests of a route whose prompts begin alike); suspecting the key or the team (sound requests share them); a suspect at one engine at a time (still a crash each).

TestSuspectIsRefused gives the peer's crash in the new message; what it asserts is the same.

--- a/internal/core/gateway/attempt.go
+++ b/internal/core/gateway/attempt.go
@@ -14,6 +14,7 @@
 	}
 	first := !r.began && r.runs == 0
 	r.began, r.beganAt = true, g.now
+	g.recordLife(r)
 	g.upstreams.RecordPrefillDone(g.now, r.upstream, r.conn)
 	if r.move == nil && !r.continuesRun {
 		g.countStart(r)
@@ -38,6 +39,7 @@
 		return
 	}
 	g.countPace(r, e.Interval)
+	g.recordSound(r)
 }
 
 func (g *Gateway) ended(e Ended) {
@@ -57,6 +59,7 @@
 	if r.move == nil {
 		g.countEnd(r, e.Result)
 	}
+	g.recordEvidence(r, e)
 	r.phase = phaseWaiting
 	r.answerSent = r.answerSent || e.AnswerSent
 	switch {
@@ -64,7 +67,6 @@
 	case e.Result == ResultComplete:
 		g.completed(r)
 	case e.Result == ResultAborted:
-		g.suspects.clear(r.req.Fingerprint)
 		delete(g.requests, r.conn)
 	case e.Result == ResultClosed:
 		g.afterClosed(r, e)
@@ -76,6 +78,22 @@
 	g.dispatchQueue(g.queue(r.service))
 }
 
+// recordEvidence records what the end of an attempt says about the request's traits
+// and about its upstream.
+func (g *Gateway) recordEvidence(r *request, e Ended) {
+	switch e.Result {
+	case ResultComplete, ResultErrored:
+		g.recordLife(r)
+		g.recordSound(r)
+	case ResultFull, ResultRefused:
+		g.recordLife(r)
+	case ResultBroken:
+		if r.move == nil {
+			g.recordBreak(r, e)
+		}
+	}
+}
+
 // logEnd logs the end of an attempt. If the connection broke, the line has what the
 // request shares with others, to find out whether it crashed the upstream.
 func (g *Gateway) logEnd(r *request, e Ended) {
@@ -93,7 +111,6 @@
 
 // completed ends a request whose answer has been relayed.
 func (g *Gateway) completed(r *request) {
-	g.suspects.clear(r.req.Fingerprint)
 	g.observe(TimeComplete, r)
 	delete(g.requests, r.conn)
 }
@@ -145,14 +162,11 @@
 func (g *Gateway) afterRun(r *request, e Ended) {
 	r.runs++
 	r.exclude = append(r.exclude, r.upstream)
-	if e.Result == ResultBroken && !r.began {
-		g.suspects.recordCrash(g.now, r.req.Fingerprint)
-	}
 	retryable := r.route.Retryable() && r.runs < r.route.Attempts
 	if r.answerSent && r.route.Kind != route.KindStreaming {
 		retryable = false
 	}
-	if retryable && !g.suspects.refused(r.req.Fingerprint) && g.allowRetry(r, string(e.Result)) {
+	if retryable && !g.isRefused(r) && g.allowRetry(r, string(e.Result)) {
 		g.retry(r)
 		return
 	}
--- a/internal/core/gateway/doc.go
+++ b/internal/core/gateway/doc.go
@@ -32,6 +32,12 @@
 // version of its configuration. A node that missed a configuration fetches it
 // from a peer.
 //
+// # Requests that crash upstreams
+//
+// An attempt that breaks before its answer has gone on for a while is evidence that
+// its request crashes upstreams: by its content or by a part of its prompt. Package
+// quarantine judges the evidence of all nodes.
+//
 // # Usage
 //
 //	g := gateway.New(gateway.Config{Node: "vm-1", ...}, rng)
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"monsoonlanding/internal/core/fleet"
 	"monsoonlanding/internal/core/leader"
 	"monsoonlanding/internal/core/placement"
+	"monsoonlanding/internal/core/quarantine"
 	"monsoonlanding/internal/core/quota"
 	"monsoonlanding/internal/core/route"
 )
@@ -94,7 +95,7 @@
 	requests     map[uint64]*request
 	queues       map[string]*serviceQueue
 	retryBudgets map[string]*retryBudget
-	suspects     suspects
+	quarantine   *quarantine.Register
 	goals        goals
 
 	members map[string]*member
@@ -138,7 +139,7 @@
 		requests:      make(map[uint64]*request),
 		queues:        make(map[string]*serviceQueue),
 		retryBudgets:  make(map[string]*retryBudget),
-		suspects:      newSuspects(),
+		quarantine:    quarantine.New(),
 		goals:         make(goals),
 		members:       make(map[string]*member),
 		quotas:        make(map[string]*teamQuota),
@@ -257,6 +258,7 @@
 
 func (g *Gateway) tick() {
 	g.removeMissing()
+	g.judge()
 	g.refuseOverdue()
 	g.dispatchQueues()
 	g.checkRollouts()
@@ -268,7 +270,7 @@
 	}
 	g.pruneAt = g.now.Add(pruneInterval)
 	g.upstreams.Expire(g.now)
-	g.suspects.prune(g.now)
+	g.quarantine.Prune(g.now)
 }
 
 // Ready reports whether the node accepts new callers.
--- a/internal/core/gateway/members.go
+++ b/internal/core/gateway/members.go
@@ -110,7 +110,7 @@
 		}
 		delete(g.members, m.node)
 		g.upstreams.RemovePeer(m.node)
-		delete(g.suspects.peers, m.node)
+		g.quarantine.RemovePeer(m.node)
 		g.log("member", "node forgotten", "peer", m.node)
 	}
 }
--- a/internal/core/gateway/queue.go
+++ b/internal/core/gateway/queue.go
@@ -151,15 +151,22 @@
 
 // refuseOverdue refuses requests that can no longer begin in time.
 func (g *Gateway) refuseOverdue() {
-	var overdue []*request
+	overdue := func(r *request) bool { return !g.now.Before(r.refuseAt) }
+	g.refuseWaiting(overdue, ReasonOverload, minRetryAfter)
+}
+
+// refuseWaiting refuses the waiting requests that are selected, with a base delay
+// after which to retry.
+func (g *Gateway) refuseWaiting(selected func(*request) bool, reason Reason, wait time.Duration) {
+	var list []*request
 	for _, r := range g.requests {
-		if r.phase == phaseWaiting && r.move == nil && !g.now.Before(r.refuseAt) {
-			overdue = append(overdue, r)
+		if r.phase == phaseWaiting && r.move == nil && selected(r) {
+			list = append(list, r)
 		}
 	}
-	slices.SortFunc(overdue, byArrival)
-	for _, r := range overdue {
-		g.refuse(r, ReasonOverload, g.retryAfter(minRetryAfter))
+	slices.SortFunc(list, byArrival)
+	for _, r := range list {
+		g.refuse(r, reason, g.retryAfter(wait))
 	}
 }
 
--- a/internal/core/gateway/request.go
+++ b/internal/core/gateway/request.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"monsoonlanding/internal/core/placement"
+	"monsoonlanding/internal/core/quarantine"
 	"monsoonlanding/internal/core/route"
 )
 
@@ -56,6 +57,14 @@
 	exclude      []string
 	// answerSent is set once part of an answer has reached the caller.
 	answerSent bool
+	// traits are those by which the request may crash upstreams. probe is set if it
+	// was let through although one of them is quarantined.
+	traits []quarantine.Trait
+	probe  bool
+	// process identifies the upstream's process of the current attempt, whose
+	// answer has gone on beyond its begin if sound is set.
+	process uint64
+	sound   bool
 }
 
 // urgency returns the request's priority at an upstream; 0 is the most urgent.
@@ -95,7 +104,7 @@
 )
 
 func (g *Gateway) arrived(e Arrived) {
-	r := &request{conn: e.Conn, req: e.Request, arrived: g.now, phase: phaseWaiting}
+	r := &request{conn: e.Conn, req: e.Request, arrived: g.now, phase: phaseWaiting, traits: traits(e.Request)}
 	if reason := g.match(r); reason != "" {
 		g.refuseNew(r, reason, 0)
 		return
@@ -105,8 +114,8 @@
 		g.refuseNew(r, ReasonStopping, 0)
 		return
 	}
-	if g.suspects.refused(r.req.Fingerprint) {
-		g.refuseNew(r, ReasonSuspect, crashRetention)
+	if !g.admit(r) {
+		g.refuseNew(r, ReasonSuspect, suspectRetryAfter)
 		return
 	}
 	if wait, ok := g.takeQuota(r); !ok {
@@ -208,6 +217,7 @@
 	r.upstream = u.ID
 	r.began = false
 	r.dispatchedAt = g.now
+	r.process, r.sound = processID(u), false
 	r.continuesRun, r.counted, r.paced = from != (KVCache{}), notCounted, false
 	if r.attempt == 1 {
 		g.observe(TimeWaited, r)
--- a/internal/core/gateway/request_test.go
+++ b/internal/core/gateway/request_test.go
@@ -6,8 +6,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"monsoonlanding/internal/core/peer"
 	"monsoonlanding/internal/core/placement"
+	"monsoonlanding/internal/core/quarantine"
 )
 
 func TestRefusedBeforeConfigurationIsRead(t *testing.T) {
@@ -169,7 +169,7 @@
 	conn, effects := b.submit(Request{Path: "/plan/1", Key: "k", Fingerprint: 77})
 	b.reduce(Ended{Conn: conn, Attempt: b.dispatch(effects).Attempt, Result: ResultBroken})
 	s := status("b")
-	s.Crashes = []peer.ContentCrashes{{Fingerprint: 77, Crashes: 1}}
+	s.Quarantine.Evidence = []quarantine.Evidence{{Trait: quarantine.Traits(nil, 77)[0], Crashes: []quarantine.Crash{{ID: 9}}}}
 	b.receive(s)
 	_, effects = b.submit(Request{Path: "/plan/1", Key: "k", Fingerprint: 77})
 	b.Assert(refusal(effects), qt.Equals, ReasonSuspect)
--- a/internal/core/gateway/state.go
+++ b/internal/core/gateway/state.go
@@ -1,5 +1,7 @@
 package gateway
 
+import "monsoonlanding/internal/core/quarantine"
+
 // State is a snapshot of a node, for its metrics.
 type State struct {
 	ConfigVersion int64 `json:"config_version"`
@@ -17,6 +19,9 @@
 	// QuotaLeft is the number of units that each team served here may spend at
 	// once.
 	QuotaLeft map[string]float64 `json:"quota_left"`
+	// Quarantined is the number of crashes for each trait of requests that is
+	// refused because of them.
+	Quarantined map[quarantine.Trait]int `json:"quarantined"`
 }
 
 // ServiceState is a snapshot of a service.
@@ -42,6 +47,7 @@
 		LeaseToken:     g.lease.FencingToken(),
 		Services:       make(map[string]ServiceState),
 		QuotaLeft:      make(map[string]float64),
+		Quarantined:    g.quarantine.Quarantined(),
 	}
 	for _, service := range g.table.Services() {
 		s.Services[service.Name] = g.serviceState(service.Name)
--- a/internal/core/gateway/status.go
+++ b/internal/core/gateway/status.go
@@ -32,7 +32,7 @@
 		UpstreamsRevision: g.changedRevision,
 		StoreUnavailable:  g.storeDown,
 		Time:              g.clusterTime(),
-		Crashes:           g.suspects.contentCrashes(),
+		Quarantine:        g.quarantine.Report(g.now),
 		KnownNodes:        g.sampleMembers(),
 		Rollouts:          g.rolloutStatuses(),
 	}
@@ -99,7 +99,8 @@
 		g.log("member", "node readiness changed", "peer", s.Node, "ready", s.Ready)
 	}
 	g.upstreams.SetPeerLoads(s.Node, upstreamLoads(s))
-	g.suspects.peerReported(s.Node, s.Crashes)
+	g.quarantine.Merge(g.now, s.Node, s.Quarantine)
+	g.judge()
 	g.usage.peerReported(s)
 	g.mergeRollouts(s)
 	g.usage.setOffset(s.Node, s.Time.Sub(g.now))
--- a/internal/core/peer/status.go
+++ b/internal/core/peer/status.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"monsoonlanding/internal/core/placement"
+	"monsoonlanding/internal/core/quarantine"
 )
 
 // Status is the status message that a gateway node broadcasts several times per
@@ -34,8 +35,8 @@
 	// KnownNodes lists a few nodes that the sender has received messages from
 	// recently.
 	KnownNodes []KnownNode `cbor:"13,keyasint"`
-	// Crashes lists the request contents that crashed upstreams.
-	Crashes []ContentCrashes `cbor:"14,keyasint,omitempty"`
+	// Quarantine is what the sender knows of requests that may crash upstreams.
+	Quarantine quarantine.Report `cbor:"19,keyasint"`
 	// UpstreamsRevision is the store's revision of the latest change to the
 	// sender's list of upstreams.
 	UpstreamsRevision int64 `cbor:"15,keyasint"`
@@ -47,13 +48,6 @@
 	EngineLoad []ServiceEngineLoad `cbor:"16,keyasint,omitempty"`
 }
 
-// ContentCrashes is the number of times that a request content crashed an
-// upstream.
-type ContentCrashes struct {
-	Fingerprint uint64 `cbor:"1,keyasint"`
-	Crashes     int    `cbor:"2,keyasint"`
-}
-
 // RolloutStatus is a node's status of an open rollout.
 type RolloutStatus struct {
 	Service string `cbor:"1,keyasint"`
--- a/internal/tool/emulator/caller.go
+++ b/internal/tool/emulator/caller.go
@@ -17,6 +17,9 @@
 	// eagerRetryDelay is the retry delay of callers that ignore the delay given
 	// in the refusal.
 	eagerRetryDelay = 20 * time.Millisecond
+	// breaksOfSuspect is the number of broken attempts after which a content may be
+	// refused.
+	breaksOfSuspect = 2
 	// groupTokens is the size of a part that comes before the prefixes.
 	groupTokens = 300
 )
@@ -156,6 +159,14 @@
 		})
 		return
 	}
+	if s.pattern.ResetFraction > 0 && s.rng.Float64() < s.pattern.ResetFraction {
+		s.at(begin, func() {
+			if current() {
+				s.attemptEnded(d.Conn, c, gateway.Ended{Result: gateway.ResultBroken})
+			}
+		})
+		return
+	}
 	s.at(begin.Add(messageLatency), func() {
 		if current() {
 			s.answerBegan(c)
@@ -219,6 +230,9 @@
 	if s.setup.Result != nil {
 		ended.Result = s.setup.Result(ended.Result)
 	}
+	if ended.Result == gateway.ResultBroken {
+		c.breaks++
+	}
 	ended.Conn, ended.Attempt, ended.AnswerSent = conn, c.attempt, c.done
 	s.reduce(c.node, ended)
 	if ended.Result == gateway.ResultComplete {
@@ -253,6 +267,9 @@
 
 func (s *simulation) countRefusal(c *caller, reason gateway.Reason) {
 	s.report.Refusals[reason]++
+	if reason == gateway.ReasonSuspect && c.breaks < breaksOfSuspect {
+		s.report.WronglySuspected++
+	}
 	s.report.MaxRefusalDelay = max(s.report.MaxRefusalDelay, float64(s.now.Sub(c.submitted))/float64(c.kind.LatencyGoal))
 	if reason == gateway.ReasonOverload && s.hasCapacity(c) {
 		s.report.RefusedWithCapacity++
--- a/internal/tool/emulator/pattern.go
+++ b/internal/tool/emulator/pattern.go
@@ -55,6 +55,9 @@
 	// BrokenFraction is the fraction of runs whose answer breaks off,
 	// RefusedFraction the fraction of dispatched requests that upstreams refuse.
 	BrokenFraction, RefusedFraction float64
+	// ResetFraction is the fraction of runs whose connection is reset before their
+	// answer begins.
+	ResetFraction float64
 	// CrashingPart is a prompt part that crashes engines; nil for none.
 	CrashingPart *CrashingPart
 	// RestartAt is when all nodes restart without state; zero is never.
--- a/internal/tool/emulator/report.go
+++ b/internal/tool/emulator/report.go
@@ -11,6 +11,9 @@
 	// RefusedWithCapacity counts refusals for overload while more than half of
 	// the engines' slots were free and no engine was prefilling.
 	RefusedWithCapacity int
+	// WronglySuspected counts requests that were refused as suspect although their
+	// own content had broken at fewer than two upstreams.
+	WronglySuspected int
 	// MaxRefusalDelay is the longest time from a submission to its refusal, as
 	// a fraction of the latency goal.
 	MaxRefusalDelay float64
--- a/internal/tool/emulator/run.go
+++ b/internal/tool/emulator/run.go
@@ -99,6 +99,8 @@
 	// submitted is the time of the current submission.
 	submitted time.Time
 	retries   int
+	// breaks is the number of attempts that broke.
+	breaks int
 	// attempt is the node's number of the current dispatch, runsOn its upstream.
 	attempt int
 	runsOn  *upstream
