gateway: quarantined prompt parts outlast a restart of all nodes

What callers would see: after all nodes have been killed, a part that had been found out crashes three engines and more again.

Cause: the evidence lay in the nodes only, and a new node learns of it from its peers.

Change: the first of the nodes in contact writes the quarantined parts with their evidence to an object of the store, when they change; each node reads it once when it starts, again until the store answers. Contents are not stored: one that comes again is known by two crashes. An object that can't be decoded holds nothing. All quarantined traits go into each status, the bound holds for the others.

--- a/internal/core/gateway/effect.go
+++ b/internal/core/gateway/effect.go
@@ -7,6 +7,7 @@
 	"monsoonlanding/internal/core/leader"
 	"monsoonlanding/internal/core/peer"
 	"monsoonlanding/internal/core/placement"
+	"monsoonlanding/internal/core/quarantine"
 	"monsoonlanding/internal/core/rollout"
 )
 
@@ -108,6 +109,17 @@
 // RemoveNode removes a node's entry from the platform.
 type RemoveNode struct{ Node string }
 
+// ReadQuarantine reads the stored quarantined parts; answered by QuarantineRead.
+type ReadQuarantine struct{}
+
+// WriteQuarantine replaces the stored quarantined parts; answered by
+// QuarantineWritten.
+type WriteQuarantine struct {
+	Evidence []quarantine.Evidence
+	// At is the time to which the ages of the evidence refer.
+	At time.Time
+}
+
 // RegisterNode writes the node's own entry, which is missing at the platform.
 type RegisterNode struct{}
 
@@ -172,25 +184,27 @@
 // Drained reports that a stopping node has no work left and may exit.
 type Drained struct{}
 
-func (Dispatch) effect()      {}
-func (Move) effect()          {}
-func (Refuse) effect()        {}
-func (RelayError) effect()    {}
-func (Finish) effect()        {}
-func (Abort) effect()         {}
-func (Send) effect()          {}
-func (ReadLease) effect()     {}
-func (WriteLease) effect()    {}
-func (ReportUsage) effect()   {}
-func (OrderFleet) effect()    {}
-func (WriteRollout) effect()  {}
-func (RemoveNode) effect()    {}
-func (RegisterNode) effect()  {}
-func (ListUpstreams) effect() {}
-func (Count) effect()         {}
-func (Observe) effect()       {}
-func (Log) effect()           {}
-func (Drained) effect()       {}
+func (Dispatch) effect()        {}
+func (Move) effect()            {}
+func (Refuse) effect()          {}
+func (RelayError) effect()      {}
+func (Finish) effect()          {}
+func (Abort) effect()           {}
+func (Send) effect()            {}
+func (ReadLease) effect()       {}
+func (WriteLease) effect()      {}
+func (ReportUsage) effect()     {}
+func (OrderFleet) effect()      {}
+func (WriteRollout) effect()    {}
+func (RemoveNode) effect()      {}
+func (RegisterNode) effect()    {}
+func (ReadQuarantine) effect()  {}
+func (WriteQuarantine) effect() {}
+func (ListUpstreams) effect()   {}
+func (Count) effect()           {}
+func (Observe) effect()         {}
+func (Log) effect()             {}
+func (Drained) effect()         {}
 
 // Reason is why a request was refused or its answer aborted.
 type Reason string
--- a/internal/core/gateway/event.go
+++ b/internal/core/gateway/event.go
@@ -7,6 +7,7 @@
 	"monsoonlanding/internal/core/leader"
 	"monsoonlanding/internal/core/peer"
 	"monsoonlanding/internal/core/placement"
+	"monsoonlanding/internal/core/quarantine"
 	"monsoonlanding/internal/core/rollout"
 	"monsoonlanding/internal/core/route"
 )
@@ -267,6 +268,17 @@
 	Accepted bool
 }
 
+// QuarantineRead answers a ReadQuarantine. Done is set if the store answered.
+type QuarantineRead struct {
+	Evidence []quarantine.Evidence
+	// At is the time to which the ages of the evidence refer.
+	At   time.Time
+	Done bool
+}
+
+// QuarantineWritten answers a WriteQuarantine.
+type QuarantineWritten struct{ Done bool }
+
 // FleetOrdered answers an OrderFleet.
 type FleetOrdered struct {
 	Order   fleet.Order
@@ -276,26 +288,28 @@
 // Stop requests a graceful shutdown.
 type Stop struct{}
 
-func (Tick) event()             {}
-func (Arrived) event()          {}
-func (Began) event()            {}
-func (Paced) event()            {}
-func (Ended) event()            {}
-func (Moved) event()            {}
-func (Expired) event()          {}
-func (HandlerEnded) event()     {}
-func (ConfigRead) event()       {}
-func (UpstreamsListed) event()  {}
-func (UpstreamsChanged) event() {}
-func (RolloutsChanged) event()  {}
-func (RolloutWritten) event()   {}
-func (SettingsChanged) event()  {}
-func (StoreLost) event()        {}
-func (StoreRegained) event()    {}
-func (NodesListed) event()      {}
-func (PeerReceived) event()     {}
-func (LeaseRead) event()        {}
-func (LeaseWritten) event()     {}
-func (UsageReported) event()    {}
-func (FleetOrdered) event()     {}
-func (Stop) event()             {}
+func (Tick) event()              {}
+func (Arrived) event()           {}
+func (Began) event()             {}
+func (Paced) event()             {}
+func (Ended) event()             {}
+func (Moved) event()             {}
+func (Expired) event()           {}
+func (HandlerEnded) event()      {}
+func (ConfigRead) event()        {}
+func (UpstreamsListed) event()   {}
+func (UpstreamsChanged) event()  {}
+func (RolloutsChanged) event()   {}
+func (RolloutWritten) event()    {}
+func (SettingsChanged) event()   {}
+func (StoreLost) event()         {}
+func (StoreRegained) event()     {}
+func (NodesListed) event()       {}
+func (PeerReceived) event()      {}
+func (LeaseRead) event()         {}
+func (LeaseWritten) event()      {}
+func (UsageReported) event()     {}
+func (FleetOrdered) event()      {}
+func (QuarantineRead) event()    {}
+func (QuarantineWritten) event() {}
+func (Stop) event()              {}
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -92,11 +92,12 @@
 	// drainingSince holds when each draining upstream was first seen draining.
 	drainingSince map[string]time.Time
 
-	requests     map[uint64]*request
-	queues       map[string]*serviceQueue
-	retryBudgets map[string]*retryBudget
-	quarantine   *quarantine.Register
-	goals        goals
+	requests        map[uint64]*request
+	queues          map[string]*serviceQueue
+	retryBudgets    map[string]*retryBudget
+	quarantine      *quarantine.Register
+	quarantineStore quarantineStore
+	goals           goals
 
 	members map[string]*member
 	// configFetchAt is the earliest time of the next request for a
@@ -226,6 +227,10 @@
 		g.rolloutsChanged(e)
 	case RolloutWritten:
 		g.rolloutWritten(e)
+	case QuarantineRead:
+		g.quarantineRead(e)
+	case QuarantineWritten:
+		g.quarantineWritten(e)
 	}
 }
 
@@ -264,6 +269,7 @@
 	g.checkRollouts()
 	g.sendDueStatuses()
 	g.performDuties()
+	g.syncQuarantine()
 	g.checkDrained()
 	if g.now.Before(g.pruneAt) {
 		return
--- a/internal/core/gateway/quarantine.go
+++ b/internal/core/gateway/quarantine.go
@@ -43,12 +43,15 @@
 
 // mayProbe reports whether this node is the one to let a request with a
 // quarantined trait through: the first of the nodes in contact, if these are a
-// majority, in the order of a rendezvous hash.
+// majority.
 func (g *Gateway) mayProbe(t quarantine.Trait) bool {
-	if 2*g.contactCount(silentIntervals) <= len(g.members)+1 {
-		return false
-	}
-	rank := func(node string) uint64 { return xxhash.Sum64String(string(t) + "/" + node) }
+	return 2*g.contactCount(silentIntervals) > len(g.members)+1 && g.isFirstInContact(string(t))
+}
+
+// isFirstInContact reports whether this node is the first of those in contact in
+// the order of a rendezvous hash for a task.
+func (g *Gateway) isFirstInContact(task string) bool {
+	rank := func(node string) uint64 { return xxhash.Sum64String(task + "/" + node) }
 	own := rank(g.cfg.Node)
 	for _, m := range g.members {
 		if g.inContact(m) && rank(m.node) > own {
--- a/internal/core/quarantine/exchange.go
+++ b/internal/core/quarantine/exchange.go
@@ -44,9 +44,15 @@
 			cmp.Compare(a.trait, b.trait),
 		)
 	})
-	reports := make([]Evidence, 0, min(len(list), maxReported))
-	for _, e := range list[:min(len(list), maxReported)] {
-		reports = append(reports, e.report(now))
+	var reports []Evidence
+	others := 0
+	for _, e := range list {
+		if !e.quarantined {
+			others++
+		}
+		if others <= maxReported {
+			reports = append(reports, e.report(now))
+		}
 	}
 	return reports
 }
--- a/internal/core/quarantine/register.go
+++ b/internal/core/quarantine/register.go
@@ -27,8 +27,8 @@
 	// whose sound runs are counted.
 	maxEntries     = 20_000
 	maxSoundTraits = 20_000
-	// maxReported bounds the traits in a report to the other nodes, and
-	// recentCrash the age of a single crash that is in it.
+	// maxReported bounds the traits that are not quarantined in a report to the
+	// other nodes, and recentCrash the age of a single crash that is in it.
 	maxReported = 16
 	recentCrash = 5 * time.Second
 )
--- a/internal/run/gateway/execute.go
+++ b/internal/run/gateway/execute.go
@@ -55,6 +55,10 @@
 		r.relistMainFeed()
 	case core.RegisterNode:
 		r.group.Go(r.registerNode)
+	case core.ReadQuarantine:
+		r.group.Go(r.readQuarantine)
+	case core.WriteQuarantine:
+		r.group.Go(func() { r.writeQuarantine(e) })
 	}
 }
 
@@ -146,6 +150,22 @@
 	r.log.Info().Str("step", "nodes").Msg("node registered")
 }
 
+func (r *Runner) readQuarantine() {
+	read, err := r.cfg.Services.ReadQuarantine(r.ctx)
+	if err != nil {
+		r.log.Warn().Str("step", "quarantine").Err(err).Msg("quarantined parts not read")
+	}
+	r.submit(read)
+}
+
+func (r *Runner) writeQuarantine(e core.WriteQuarantine) {
+	err := r.cfg.Services.WriteQuarantine(r.ctx, e)
+	if err != nil {
+		r.log.Warn().Str("step", "quarantine").Err(err).Msg("quarantined parts not written")
+	}
+	r.submit(core.QuarantineWritten{Done: err == nil})
+}
+
 func (r *Runner) writeLog(e core.Log) {
 	event := r.logger(e.Conn).Info().Str("step", e.Step)
 	if e.Request != "" {
--- a/internal/run/gateway/protocol.go
+++ b/internal/run/gateway/protocol.go
@@ -94,6 +94,10 @@
 	WriteLease   func(ctx context.Context, l leader.Lease, ifRevision int64) (core.LeaseWritten, error)
 	ReportUsage  func(ctx context.Context, r leader.Report, token int64) error
 	WriteRollout func(ctx context.Context, o rollout.Order) (core.RolloutWritten, error)
-	MoveRun      func(ctx context.Context, m core.Move) (core.Moved, error)
-	OrderFleet   func(ctx context.Context, o fleet.Order, token int64) (fleet.Outcome, error)
+	// ReadQuarantine returns Done with an error if the store has answered and the
+	// answer can't be decoded.
+	ReadQuarantine  func(ctx context.Context) (core.QuarantineRead, error)
+	WriteQuarantine func(ctx context.Context, e core.WriteQuarantine) error
+	MoveRun         func(ctx context.Context, m core.Move) (core.Moved, error)
+	OrderFleet      func(ctx context.Context, o fleet.Order, token int64) (fleet.Outcome, error)
 }
--- a/internal/tool/emulator/crashing_test.go
+++ b/internal/tool/emulator/crashing_test.go
@@ -54,6 +54,8 @@
 		setup func(*Setup, *Pattern)
 	}{
 		{"restart before the crashes", func(_ *Setup, p *Pattern) { p.RestartAt = 9 * time.Second }},
+		{"restart of all nodes amid the crashes", func(_ *Setup, p *Pattern) { p.RestartAt = 25 * time.Second }},
+		{"restart of all nodes, seldom", func(_ *Setup, p *Pattern) { p.RestartAt, p.CrashingPart.Rate = 30*time.Second, 0.5 }},
 		{"often", func(_ *Setup, p *Pattern) { p.CrashingPart.Rate = 10 }},
 		{"seldom", func(_ *Setup, p *Pattern) { p.CrashingPart.Rate = 0.4 }},
 		{"partition", func(_ *Setup, p *Pattern) {
--- a/internal/tool/emulator/run.go
+++ b/internal/tool/emulator/run.go
@@ -25,6 +25,8 @@
 	// upstreamListDelay is the time from an engine's crash until the list of
 	// upstreams omits it.
 	upstreamListDelay = time.Second
+	// storeLatency is the time until the store answers a call.
+	storeLatency = 4 * time.Millisecond
 	// zoneCount is the number of availability zones.
 	zoneCount = 3
 	// teamCount is the number of teams.
@@ -78,6 +80,8 @@
 	// pending holds callers by the connection of their current submission.
 	pending  map[uint64]*caller
 	lastConn uint64
+	// storedQuarantine is what the store has of quarantined parts.
+	storedQuarantine gateway.QuarantineRead
 	// revision is the latest revision of the list of upstreams.
 	revision int64
 	// prefilledParts holds the shared parts that any engine has prefilled.
@@ -128,10 +132,11 @@
 func newSimulation(setup Setup, pattern Pattern) *simulation {
 	s := &simulation{
 		setup: setup, pattern: pattern, now: startTime,
-		rng:            rand.New(rand.NewPCG(setup.Seed, 1)),
-		byID:           make(map[string]*upstream),
-		pending:        make(map[uint64]*caller),
-		prefilledParts: make(map[string]bool),
+		rng:              rand.New(rand.NewPCG(setup.Seed, 1)),
+		byID:             make(map[string]*upstream),
+		pending:          make(map[uint64]*caller),
+		prefilledParts:   make(map[string]bool),
+		storedQuarantine: gateway.QuarantineRead{Done: true},
 		report: &Report{
 			Kinds: make(map[string]*Tally), Teams: make(map[string]*Tally),
 			Refusals: make(map[gateway.Reason]int),
@@ -337,9 +342,24 @@
 		s.handleAbort(e.Conn)
 	case gateway.Send:
 		s.send(node, e)
+	case gateway.ReadQuarantine:
+		s.answerStoreCall(node, s.storedQuarantine)
+	case gateway.WriteQuarantine:
+		s.storedQuarantine = gateway.QuarantineRead{Evidence: e.Evidence, At: e.At, Done: true}
+		s.answerStoreCall(node, gateway.QuarantineWritten{Done: true})
 	}
 }
 
+// answerStoreCall answers a node's call to the store.
+func (s *simulation) answerStoreCall(node int, answer gateway.Event) {
+	caller := s.nodes[node]
+	s.after(storeLatency, func() {
+		if s.nodes[node] == caller {
+			s.reduce(node, answer)
+		}
+	})
+}
+
 func (s *simulation) send(from int, e gateway.Send) {
 	var to int
 	if _, err := fmt.Sscanf(e.Node, "node-%d", &to); err != nil {
