gateway: the limit that an upstream names is read and logged

The log could not tell whether a node knows an upstream's limit. A limit is read from the head of each answer; a line is logged when it changes. Answers to attempts that were dispatched before a limit was named don't lift it, since answers overtake each other. Nothing keeps to it yet.

--- a/internal/core/gateway/attempt.go
+++ b/internal/core/gateway/attempt.go
@@ -15,6 +15,7 @@
 	first := !r.began && r.runs == 0
 	r.began, r.beganAt = true, g.now
 	g.recordLife(r)
+	g.recordLimit(r, e.RateLimit)
 	g.upstreams.RecordPrefillDone(g.now, r.upstream, r.conn)
 	if r.move == nil && !r.continuesRun {
 		g.countStart(r)
@@ -60,6 +61,9 @@
 		g.countEnd(r, e.Result)
 	}
 	g.recordEvidence(r, e)
+	if e.Framing != "" && !r.began {
+		g.recordLimit(r, e.RateLimit)
+	}
 	r.phase = phaseWaiting
 	r.answerSent = r.answerSent || e.AnswerSent
 	switch {
@@ -109,6 +113,13 @@
 	g.logRequest(r, "end", string(e.Result), inputs...)
 }
 
+// recordLimit records the limit that the upstream of the current attempt names.
+func (g *Gateway) recordLimit(r *request, limit placement.RateLimit) {
+	if g.upstreams.RecordLimit(g.now, r.dispatchedAt, r.upstream, limit) {
+		g.log("limit", "limit of upstream changed", "upstream", r.upstream, "named", limit.Named, "per_s", limit.PerSecond)
+	}
+}
+
 // completed ends a request whose answer has been relayed.
 func (g *Gateway) completed(r *request) {
 	g.observe(TimeComplete, r)
--- a/internal/core/gateway/event.go
+++ b/internal/core/gateway/event.go
@@ -46,6 +46,8 @@
 type Began struct {
 	Conn    uint64
 	Attempt int
+	// RateLimit is the limit that the upstream names in its answer.
+	RateLimit placement.RateLimit
 }
 
 // Paced reports the pace of a stream, measured at its first PaceEvents events, or
@@ -70,6 +72,8 @@
 	CallerFraming Framing
 	// Load is the load that the upstream reported, nil if it reported none.
 	Load *Load
+	// RateLimit is the limit that the upstream names in its answer.
+	RateLimit placement.RateLimit
 	// Framing is the framing of the upstream's answer, empty without an answer.
 	Framing Framing
 	// PartialBytes is the size of the incomplete event with which a stream ended.
--- a/internal/core/placement/set.go
+++ b/internal/core/placement/set.go
@@ -30,6 +30,9 @@
 	// reported is the upstream's own count of its requests at reportedAt.
 	reported   int
 	reportedAt time.Time
+	// limit is the limit that the upstream named last, at limitedAt.
+	limit     RateLimit
+	limitedAt time.Time
 	// unlisted reports whether the entry is currently missing from the list.
 	unlisted bool
 	// hash gives the upstreams an order that is the same at all nodes.
--- a/internal/run/gateway/answer.go
+++ b/internal/run/gateway/answer.go
@@ -51,7 +51,7 @@
 // relayBuffered reads the answer to its end before relaying any of it, so that
 // the request can be retried if the connection breaks.
 func (h *handler) relayBuffered(answer *http1.Answer, d core.Dispatch) error {
-	h.runner.submit(core.Began{Conn: h.conn, Attempt: d.Attempt})
+	h.runner.submit(core.Began{Conn: h.conn, Attempt: d.Attempt, RateLimit: h.rateLimit})
 	if err := h.bufferAnswer(answer); err != nil {
 		return err
 	}
--- a/internal/run/gateway/attempt.go
+++ b/internal/run/gateway/attempt.go
@@ -59,7 +59,11 @@
 	}
 	defer answer.Close()
 	head := h.runner.cfg.Protocol.ClassifyHead(h.request.ID, answer.Status(), answer.Header())
-	ended := core.Ended{Result: head.Result, Detail: head.Detail, Load: head.Load, Framing: core.Framing(answer.Framing())}
+	h.rateLimit = head.RateLimit
+	ended := core.Ended{
+		Result: head.Result, Detail: head.Detail, Load: head.Load, RateLimit: head.RateLimit,
+		Framing: core.Framing(answer.Framing()),
+	}
 	switch {
 	case head.Result == core.ResultErrored:
 		err = h.bufferAnswer(answer)
--- a/internal/run/gateway/handler.go
+++ b/internal/run/gateway/handler.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	core "monsoonlanding/internal/core/gateway"
+	"monsoonlanding/internal/core/placement"
 )
 
 // maxQueuedEffects bounds the effects queued for one handler.
@@ -39,6 +40,8 @@
 	framing core.Framing
 	// stream is the state of a streamed answer over all attempts.
 	stream stream
+	// rateLimit is the limit that the upstream names in the current answer.
+	rateLimit placement.RateLimit
 	// answer is the answer last read by bufferAnswer, nil before the first.
 	answer *bufferedAnswer
 }
--- a/internal/run/gateway/protocol.go
+++ b/internal/run/gateway/protocol.go
@@ -10,6 +10,7 @@
 	"monsoonlanding/internal/core/fleet"
 	core "monsoonlanding/internal/core/gateway"
 	"monsoonlanding/internal/core/leader"
+	"monsoonlanding/internal/core/placement"
 	"monsoonlanding/internal/core/rollout"
 	"monsoonlanding/internal/core/route"
 )
@@ -47,6 +48,8 @@
 	Detail string
 	// Load is the load that the upstream reports, nil if it reports none.
 	Load *core.Load
+	// RateLimit is the limit that the upstream names.
+	RateLimit placement.RateLimit
 }
 
 // Directory returns the addresses that callers can connect to, at most limit.
