emulator: failing test of upstreams that name a limit

Upstreams name a limit of requests a second for a time; what each gets in any 4 s is counted over all nodes that know of it.

--- a/internal/tool/emulator/caller.go
+++ b/internal/tool/emulator/caller.go
@@ -133,6 +133,7 @@
 	c.attempt = d.Attempt
 	u := s.byID[d.Upstream.ID]
 	s.oracle.arrived(s.now, u.Service, d.Attempt)
+	s.oracle.limit.arrived(s.now, node, u.ID)
 	switch {
 	case u.crashed:
 		s.after(messageLatency, func() { s.attemptEnded(d.Conn, c, gateway.Ended{Result: gateway.ResultUnreachable}) })
@@ -170,7 +171,7 @@
 	s.at(begin.Add(messageLatency), func() {
 		if current() {
 			s.answerBegan(c)
-			s.reduce(node, gateway.Began{Conn: d.Conn, Attempt: d.Attempt})
+			s.reduce(node, gateway.Began{Conn: d.Conn, Attempt: d.Attempt, RateLimit: s.nameLimit(node, u)})
 		}
 	})
 	if paced := begin.Add(paceTime); paced.Before(end) && u.cached != nil {
--- a/internal/tool/emulator/oracle.go
+++ b/internal/tool/emulator/oracle.go
@@ -25,6 +25,7 @@
 	// after the first reached one.
 	submissions, retries map[string][]time.Time
 	crashing             crashingOracle
+	limit                limitOracle
 	violations           []string
 }
 
@@ -108,6 +109,7 @@
 	o.checkQuotas()
 	o.checkRetryBudget()
 	o.checkCrashing()
+	o.checkLimits()
 	for _, c := range callers {
 		if !c.done {
 			o.violated("%s was neither answered, refused nor aborted", c.request.ID)
--- a/internal/tool/emulator/run.go
+++ b/internal/tool/emulator/run.go
@@ -115,11 +115,14 @@
 // Run simulates a pattern until no event is left, at most until 5 s after the
 // timeout of a request that is first submitted at the pattern's end.
 func Run(setup Setup, pattern Pattern) *Report {
-	s := newSimulation(setup, pattern)
+	return newSimulation(setup, pattern).run()
+}
+
+func (s *simulation) run() *Report {
 	s.scheduleArrivals()
 	s.scheduleFaults()
 	s.scheduleTicks()
-	end := startTime.Add(pattern.Length + callerTimeout + 5*time.Second)
+	end := startTime.Add(s.pattern.Length + callerTimeout + 5*time.Second)
 	for s.events.Len() > 0 && s.now.Before(end) {
 		e := heap.Pop(&s.events).(event)
 		s.now = e.at
@@ -146,6 +149,7 @@
 	config := s.config()
 	// The guarantees do not depend on the bounds that are set for the nodes.
 	s.oracle = newOracle(defaultBounds, config.Teams)
+	s.oracle.limit = limitOracle{limits: pattern.Limits, arrivals: make(map[string][]limitedArrival), named: make(map[string]map[int]time.Time)}
 	s.oracle.crashing = crashingOracle{part: pattern.CrashingPart, begun: make(map[*caller]bool)}
 	s.routes = make(map[string]route.Route)
 	for _, r := range config.Routes {
@@ -314,6 +318,8 @@
 // begun submit their request again at once.
 func (s *simulation) restartNodes() {
 	s.startNodes(false)
+	// A new process has not had any answer yet.
+	clear(s.oracle.limit.named)
 	for _, conn := range s.pendingConns() {
 		c := s.pending[conn]
 		delete(s.pending, conn)
