placement: the limit that an upstream names holds for all nodes together

Cause: no code read the limit. Class: a bound that holds for all nodes and that nobody counts for all of them.

Change: each upstream has a limiter that every send passes: first sends and retries in Pick and RecordStart, resumed streams as retries, the target of a move when the move starts, the move itself at its source. A node uses a part of the limit, without a burst at the start: the first of the ready nodes in contact, in a rendezvous order, one more than the limit has requests a second, share it evenly. So a low limit is not used up by the one request that each of many nodes may send at once. Nodes that are not in contact leave each other's parts alone. The limits that nodes observe go into their statuses; the latest observation counts, and an answer that names none lifts the limit if its request was sent after it was named. A limit below 0.1 a second is taken as that, or nobody would learn of its end. Engines with a limit are no longer preferred for a prompt's parts. Where other nodes use the limits of all upstreams, a request is refused at once.

Weighed: an even part for each node (at 0.2 a second each, six nodes send a burst of six and then wait 5 s; 64 nodes break the rule at once); a token that nodes hand on (a round trip a request); the lease holder as counter (a message a request, and lost when it fails).

--- a/internal/core/gateway/attempt.go
+++ b/internal/core/gateway/attempt.go
@@ -113,13 +113,6 @@
 	g.logRequest(r, "end", string(e.Result), inputs...)
 }
 
-// recordLimit records the limit that the upstream of the current attempt names.
-func (g *Gateway) recordLimit(r *request, limit placement.RateLimit) {
-	if g.upstreams.RecordLimit(g.now, r.dispatchedAt, r.upstream, limit) {
-		g.log("limit", "limit of upstream changed", "upstream", r.upstream, "named", limit.Named, "per_s", limit.PerSecond)
-	}
-}
-
 // completed ends a request whose answer has been relayed.
 func (g *Gateway) completed(r *request) {
 	g.observe(TimeComplete, r)
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -130,11 +130,10 @@
 	if cfg.Cost == nil {
 		cfg.Cost = placement.LeastTime
 	}
-	return &Gateway{
+	g := &Gateway{
 		cfg:           cfg,
 		rng:           rng,
 		table:         &route.Table{},
-		upstreams:     placement.New(cfg.Node, cfg.Zone, cfg.Cost, rng),
 		missing:       make(map[string]bool),
 		drainingSince: make(map[string]time.Time),
 		requests:      make(map[uint64]*request),
@@ -151,6 +150,8 @@
 		paces:         make(map[string]*routePace),
 		work:          make(map[string]*workMeter),
 	}
+	g.upstreams = placement.New(cfg.Node, cfg.Zone, cfg.Cost, g.limitShare, rng)
+	return g
 }
 
 // teamQuota is a team's quota with this node's spending.
--- a/internal/core/gateway/members.go
+++ b/internal/core/gateway/members.go
@@ -5,6 +5,8 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"monsoonlanding/internal/core/peer"
 )
 
@@ -67,6 +69,31 @@
 	return count
 }
 
+// orderInContact returns the number of the other nodes in contact that are selected,
+// and how many of them come before this node in the rendezvous order of a task. All
+// nodes that are in contact with each other agree on that order.
+func (g *Gateway) orderInContact(task string, selected func(*member) bool) (before, others int) {
+	rank := func(node string) uint64 { return xxhash.Sum64String(task + "/" + node) }
+	own := rank(g.cfg.Node)
+	for _, m := range g.members {
+		if !g.inContact(m) || !selected(m) {
+			continue
+		}
+		others++
+		if rank(m.node) > own {
+			before++
+		}
+	}
+	return before, others
+}
+
+// isFirstInContact reports whether this node is the first of those in contact for a
+// task.
+func (g *Gateway) isFirstInContact(task string) bool {
+	before, _ := g.orderInContact(task, func(*member) bool { return true })
+	return before == 0
+}
+
 func (g *Gateway) sortedMembers() []*member {
 	list := make([]*member, 0, len(g.members))
 	for _, m := range g.members {
--- a/internal/core/gateway/move.go
+++ b/internal/core/gateway/move.go
@@ -124,6 +124,10 @@
 		return false
 	}
 	r.move = &move{source: source, target: target}
+	// The run's continuation is a request to the target, and the move one to the
+	// source.
+	g.upstreams.Reserve(g.now, target.ID)
+	g.upstreams.Reserve(g.now, source.ID)
 	r.moveTries++
 	g.count(CountMove, "started")
 	g.logRequest(r, "move", "moving running request", "source", source.ID, "target", target.ID,
@@ -146,6 +150,7 @@
 		g.continueMoved(r)
 	case e.Outcome == MoveRefused:
 		r.exclude = append(r.exclude, r.move.target.ID)
+		g.upstreams.CancelReservation(g.now, r.move.target.ID)
 		r.move = nil
 	default:
 		r.move.moved = &e
@@ -173,6 +178,8 @@
 func (g *Gateway) continueMoved(r *request) {
 	m := r.move
 	r.move = nil
+	// The dispatch counts instead of the reservation, if there is one.
+	g.upstreams.CancelReservation(g.now, m.target.ID)
 	switch m.moved.Outcome {
 	case MoveDone:
 		g.dispatchTo(r, m.target, KVCache{Address: m.source.Address, Handle: m.moved.Handle})
--- a/internal/core/gateway/quarantine.go
+++ b/internal/core/gateway/quarantine.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"monsoonlanding/internal/core/placement"
 	"monsoonlanding/internal/core/quarantine"
 )
@@ -48,19 +46,6 @@
 	return 2*g.contactCount(silentIntervals) > len(g.members)+1 && g.isFirstInContact(string(t))
 }
 
-// isFirstInContact reports whether this node is the first of those in contact in
-// the order of a rendezvous hash for a task.
-func (g *Gateway) isFirstInContact(task string) bool {
-	rank := func(node string) uint64 { return xxhash.Sum64String(task + "/" + node) }
-	own := rank(g.cfg.Node)
-	for _, m := range g.members {
-		if g.inContact(m) && rank(m.node) > own {
-			return false
-		}
-	}
-	return true
-}
-
 // recordBreak records an attempt that broke as evidence on its request's traits.
 func (g *Gateway) recordBreak(r *request, e Ended) {
 	sign := quarantine.SignNothing
--- a/internal/core/gateway/queue.go
+++ b/internal/core/gateway/queue.go
@@ -59,6 +59,11 @@
 		g.refuse(r, ReasonNoUpstream, g.retryAfter(time.Second))
 		return
 	}
+	if !r.answerSent && g.upstreams.UsableCount(g.now, r.service) == 0 {
+		// The limits of all upstreams are used by other nodes.
+		g.refuse(r, ReasonOverload, g.retryAfter(minRetryAfter))
+		return
+	}
 	q := g.queue(r.service)
 	rankQueue := q.rankQueue(r.rank())
 	if refused := rankQueue.CheckAdmission(r.teamName(), 0); refused != team.RefusalNone {
--- a/internal/core/gateway/status.go
+++ b/internal/core/gateway/status.go
@@ -42,6 +42,7 @@
 	for id, p := range g.upstreams.OwnLoads() {
 		s.Load = append(s.Load, peer.UpstreamLoad{Upstream: id, Running: p.Running, Prefill: p.Prefill, Memory: p.Memory})
 	}
+	s.Limits = g.upstreams.OwnLimits(g.now)
 	for name, q := range g.quotas {
 		s.QuotaSpent = append(s.QuotaSpent, peer.TeamQuotaSpent{Team: name, Units: q.spent})
 	}
@@ -99,6 +100,7 @@
 		g.log("member", "node readiness changed", "peer", s.Node, "ready", s.Ready)
 	}
 	g.upstreams.SetPeerLoads(s.Node, upstreamLoads(s))
+	g.upstreams.MergeLimits(g.now, s.Limits)
 	g.quarantine.Merge(g.now, s.Node, s.Quarantine)
 	g.judge()
 	g.usage.peerReported(s)
--- a/internal/core/peer/status.go
+++ b/internal/core/peer/status.go
@@ -35,6 +35,8 @@
 	// KnownNodes lists a few nodes that the sender has received messages from
 	// recently.
 	KnownNodes []KnownNode `cbor:"13,keyasint"`
+	// Limits holds the limits that upstreams have named to the sender.
+	Limits []placement.ObservedLimit `cbor:"20,keyasint,omitempty"`
 	// Quarantine is what the sender knows of requests that may crash upstreams.
 	Quarantine quarantine.Report `cbor:"19,keyasint"`
 	// UpstreamsRevision is the store's revision of the latest change to the
--- a/internal/core/placement/doc.go
+++ b/internal/core/placement/doc.go
@@ -16,6 +16,11 @@
 // and a part is prefilled only once. Errors raise the cost, and consecutive
 // connection failures eject an upstream until its back-off ends.
 //
+// # Limits
+//
+// An upstream may name a limit of requests a second from all nodes together. A node
+// sends it no more than its own share, by whatever way the request goes.
+//
 // # Speed
 //
 // The prefill rate of a service's engines differs between deployments. It is
@@ -23,7 +28,7 @@
 //
 // # Usage
 //
-//	s := placement.New("node-a", "zone-1", placement.LeastTime, rng)
+//	s := placement.New("node-a", "zone-1", placement.LeastTime, share, rng)
 //	s.Put(u)
 //	u, ok := s.Pick(now, placement.Query{Service: "plans", Prompt: prompt})
 //	s.RecordStart(now, u.ID, 7, prompt)
--- a/internal/core/placement/pick.go
+++ b/internal/core/placement/pick.go
@@ -47,7 +47,7 @@
 	reserved := s.reservedBelow(q)
 	speed := s.Speed(q.Service)
 	for _, m := range s.sorted {
-		if !m.eligible(now, q, ejected) {
+		if !m.eligible(now, q, ejected) || !s.mayReceive(now, m) {
 			continue
 		}
 		load := m.loadAt(now)
@@ -149,7 +149,8 @@
 }
 
 // preferred returns the ID of the upstream that all nodes prefer for the
-// prompt's shared part: the one with the highest rendezvous hash.
+// prompt's shared part: the one with the highest rendezvous hash of those without
+// a limit.
 func (s *Set) preferred(q Query) string {
 	part, ok := q.Prompt.lastSharedPart()
 	if !ok {
@@ -157,7 +158,7 @@
 	}
 	best, highest := "", uint64(0)
 	for _, m := range s.sorted {
-		if m.Service != q.Service || m.State != StateReady {
+		if m.Service != q.Service || m.State != StateReady || m.limiter.limit.Named {
 			continue
 		}
 		if h := xxhash.Sum64String(part.ID + "/" + m.ID); best == "" || h > highest {
--- a/internal/core/placement/set.go
+++ b/internal/core/placement/set.go
@@ -30,9 +30,7 @@
 	// reported is the upstream's own count of its requests at reportedAt.
 	reported   int
 	reportedAt time.Time
-	// limit is the limit that the upstream named last, at limitedAt.
-	limit     RateLimit
-	limitedAt time.Time
+	limiter    limiter
 	// unlisted reports whether the entry is currently missing from the list.
 	unlisted bool
 	// hash gives the upstreams an order that is the same at all nodes.
@@ -47,6 +45,7 @@
 	zone    string
 	rng     *rand.Rand
 	cost    Cost
+	share   LimitShare
 	members map[string]*member
 	// sorted holds the members in order of ID, so that the choices are
 	// deterministic.
@@ -65,11 +64,11 @@
 	prefillTokens, batchSize int
 }
 
-// New returns an empty set for a node in a zone. The set ranks upstreams by
-// cost.
-func New(self, zone string, cost Cost, rng *rand.Rand) *Set {
+// New returns an empty set for a node in a zone. The set ranks upstreams by cost
+// and keeps to the node's share of their limits.
+func New(self, zone string, cost Cost, share LimitShare, rng *rand.Rand) *Set {
 	return &Set{
-		self: self, zone: zone, cost: cost, rng: rng,
+		self: self, zone: zone, cost: cost, share: share, rng: rng,
 		members: make(map[string]*member), estimators: make(map[string]*speedEstimator),
 	}
 }
--- a/internal/core/placement/set_test.go
+++ b/internal/core/placement/set_test.go
@@ -11,8 +11,11 @@
 
 var epoch = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
 
+// wholeLimit gives a node the whole limit of each upstream.
+func wholeLimit(_ string, perSecond float64) float64 { return perSecond }
+
 func newSet(node string, n int) *Set {
-	s := New(node, "z", LeastTime, rand.New(rand.NewPCG(1, 2)))
+	s := New(node, "z", LeastTime, wholeLimit, rand.New(rand.NewPCG(1, 2)))
 	for i := range n {
 		s.Put(Upstream{ID: fmt.Sprint("u", i), Service: "s", Zone: "z", Slots: 6, State: StateReady})
 	}
