--- a/internal/standin/rawhttp/rawhttp.go
+++ b/internal/standin/rawhttp/rawhttp.go
@@ -15,6 +15,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -42,6 +43,14 @@
 	// Reset ends the connection with a reset instead of an orderly close, Hold keeps
 	// it open until the test ends.
 	Reset, Hold bool
+	// Endless is a text that is repeated until the reader closes the connection: in
+	// the head if EndlessHead is set, otherwise in the body.
+	Endless     string
+	EndlessHead bool
+	// Pause is the time between two repetitions; without it, many are sent at once.
+	Pause time.Duration
+	// Sent, if set, counts the bytes of Endless that were sent, in all connections.
+	Sent *atomic.Int64
 }
 
 // Test is what Start needs of a test.
@@ -87,7 +96,11 @@
 	if !strings.HasPrefix(head, "HTTP/") {
 		head = "HTTP/1.1 200 OK\r\n" + head
 	}
-	_, _ = io.WriteString(conn, head+"\r\n"+a.Body)
+	if !a.EndlessHead {
+		head += "\r\n" + a.Body
+	}
+	_, _ = io.WriteString(conn, head)
+	a.sendEndless(conn)
 	if a.Hold {
 		<-over
 	}
@@ -96,3 +109,26 @@
 		_ = conn.SetLinger(0)
 	}
 }
+
+// endlessBlock is the size of one write of an endless text.
+const endlessBlock = 16 << 10
+
+// sendEndless repeats the endless text, if there is one, until the reader closes.
+func (a Answer) sendEndless(conn *net.TCPConn) {
+	if a.Endless == "" {
+		return
+	}
+	block := a.Endless
+	if a.Pause == 0 {
+		block = strings.Repeat(a.Endless, 1+endlessBlock/len(a.Endless))
+	}
+	for ; ; time.Sleep(a.Pause) {
+		n, err := io.WriteString(conn, block)
+		if a.Sent != nil {
+			a.Sent.Add(int64(n))
+		}
+		if err != nil {
+			return
+		}
+	}
+}
