run/gateway, wire/http1: answers without end are bounded

What callers would see: an upstream that sends a status line without end takes all memory of the node, whose requests are all lost.

Cause: the head of an answer was read without a bound; the body of a refusal until the request's deadline, so that the request came too late to another upstream; documents and errors up to 64 MB each in memory, on machines of 184 MB.

Change: 64 KiB for a head with all informational ones before it; 64 KiB and 50 ms for the body of a refusal, which is read only to keep the connection. A document is held up to 256 KiB and relayed from there on as it arrives, 64 MiB at most; longer errors are garbled. One event has 256 KiB at most instead of 1 MiB, all of a stream 64 MiB. Bytes that are no answer are told from a connection that broke: they count as garbled and not as a sign of a crash.

Weighed: a bound on all answers in memory together (a caller whose answer is long would fail when others' are); a lower bound on documents (an answer is the replica's whole body).

--- a/internal/run/gateway/answer.go
+++ b/internal/run/gateway/answer.go
@@ -13,8 +13,13 @@
 	"monsoonlanding/internal/wire/http1"
 )
 
-// maxAnswerBytes bounds an answer that is buffered in memory.
-const maxAnswerBytes = 64 << 20
+const (
+	// maxBufferedBytes bounds an answer that is held in memory. A longer document is
+	// relayed while it is read.
+	maxBufferedBytes = 256 << 10
+	// maxAnswerBytes bounds all that is relayed of an attempt.
+	maxAnswerBytes = 64 << 20
+)
 
 // bufferedAnswer is an answer of an upstream that has been read to its end.
 type bufferedAnswer struct {
@@ -27,38 +32,78 @@
 // bufferAnswer reads an answer to its end into h.answer. An upstream's error is
 // relayed from there if no other attempt succeeds.
 func (h *handler) bufferAnswer(answer *http1.Answer) error {
-	body, err := readBody(answer)
+	body, err := http1.ReadDocument(answer, maxBufferedBytes)
+	if errors.Is(err, http1.ErrTooLarge) {
+		return errors.Wrap(errMalformed, err.Error())
+	}
 	if err != nil {
 		return err
 	}
+	h.setAnswer(answer, body)
+	return nil
+}
+
+func (h *handler) setAnswer(answer *http1.Answer, body []byte) {
 	h.answer = &bufferedAnswer{
 		status: answer.Status(), header: answer.Header(), body: body, framing: core.Framing(answer.Framing()),
 	}
-	return nil
 }
 
-func readBody(answer *http1.Answer) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(answer, maxAnswerBytes+1))
+// relayDocument reads the answer to its end before relaying any of it, so that the
+// request can be retried if the connection breaks. What is longer than
+// maxBufferedBytes is relayed as it arrives.
+func (h *handler) relayDocument(answer *http1.Answer, d core.Dispatch) error {
+	h.runner.submit(core.Began{Conn: h.conn, Attempt: d.Attempt, RateLimit: h.rateLimit})
+	if answer.Length() > maxAnswerBytes {
+		return errors.Wrapf(errMalformed, "got an answer of %d bytes, expected at most %d", answer.Length(), maxAnswerBytes)
+	}
+	begin, err := io.ReadAll(io.LimitReader(answer, maxBufferedBytes+1))
 	if err != nil {
-		return nil, err
+		return err
 	}
-	if len(body) > maxAnswerBytes {
-		return nil, errors.Wrap(errMalformed, "answer exceeds the size limit")
+	if len(begin) > maxBufferedBytes {
+		return h.relayLong(answer, begin)
 	}
-	return body, nil
+	h.setAnswer(answer, begin)
+	h.writeBuffered()
+	return nil
 }
 
-// relayBuffered reads the answer to its end before relaying any of it, so that
-// the request can be retried if the connection breaks.
-func (h *handler) relayBuffered(answer *http1.Answer, d core.Dispatch) error {
-	h.runner.submit(core.Began{Conn: h.conn, Attempt: d.Attempt, RateLimit: h.rateLimit})
-	if err := h.bufferAnswer(answer); err != nil {
+// relayLong relays an answer of which the begin has been read.
+func (h *handler) relayLong(answer *http1.Answer, begin []byte) error {
+	if length := answer.Length(); length >= 0 {
+		h.w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	h.writeHead(answer.Status(), answer.Header(), core.Framing(answer.Framing()))
+	rest := &callerWriter{w: h.w}
+	if _, err := rest.Write(begin); err != nil {
 		return err
 	}
-	h.writeBuffered()
+	n, err := io.Copy(rest, io.LimitReader(answer, int64(maxAnswerBytes-len(begin)+1)))
+	switch {
+	case err != nil:
+		return err
+	case int(n)+len(begin) > maxAnswerBytes:
+		return errors.Wrapf(errMalformed, "answer exceeds %d bytes", maxAnswerBytes)
+	}
+	if h.framing == core.FramingClose {
+		_ = h.control.Flush()
+	}
+	h.finish()
 	return nil
 }
 
+// callerWriter writes to the caller. Its errors are caused by errCallerWrite.
+type callerWriter struct{ w io.Writer }
+
+func (c *callerWriter) Write(b []byte) (int, error) {
+	n, err := c.w.Write(b)
+	if err != nil {
+		return n, errors.Wrap(errCallerWrite, err.Error())
+	}
+	return n, nil
+}
+
 // writeBuffered writes the buffered answer to the caller. One that ended with its
 // connection may have been cut, so the caller gets it without a length, too.
 func (h *handler) writeBuffered() {
--- a/internal/run/gateway/attempt.go
+++ b/internal/run/gateway/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -11,9 +10,15 @@
 	"monsoonlanding/internal/wire/http1"
 )
 
-// writeMargin extends the deadline for writes to the caller beyond the deadline
-// of the attempt.
-const writeMargin = 250 * time.Millisecond
+const (
+	// writeMargin extends the deadline for writes to the caller beyond the deadline
+	// of the attempt.
+	writeMargin = 250 * time.Millisecond
+	// maxRefusalBytes and maxRefusalTime bound the body of a refusal, which is read
+	// only for the sake of its connection.
+	maxRefusalBytes = 64 << 10
+	maxRefusalTime  = 50 * time.Millisecond
+)
 
 // attempt sends the request to an upstream and relays the answer. It reports
 // whether the request is finished.
@@ -70,7 +75,7 @@
 	case head.Result != core.ResultComplete:
 		if head.Result.NotRun() {
 			// The connection can be reused only if the body has been read.
-			_, err = io.Copy(io.Discard, answer)
+			err = answer.Drain(maxRefusalBytes, maxRefusalTime)
 		}
 		if err != nil {
 			h.runner.log.Debug().Str("step", "attempt").Str("request", h.request.ID).Err(err).Msg("body of refusal not read")
@@ -85,7 +90,7 @@
 		err = errors.Wrapf(errMalformed, "got status %d and type %q, expected the rest of a stream",
 			answer.Status(), answer.Header().Get("Content-Type"))
 	default:
-		err = h.relayBuffered(answer, d)
+		err = h.relayDocument(answer, d)
 	}
 	ended.PartialBytes = h.stream.partialBytes
 	if err != nil {
@@ -101,7 +106,7 @@
 	switch {
 	case errors.Is(err, errCallerWrite):
 		result = core.ResultAborted
-	case errors.Is(err, errMalformed):
+	case errors.Is(err, errMalformed), http1.Malformed(err):
 		result = core.ResultMalformed
 	case !http1.Written(err):
 		result = core.ResultUnreachable
--- a/internal/run/gateway/events.go
+++ b/internal/run/gateway/events.go
@@ -20,6 +20,9 @@
 // LF, CR LF or CR.
 var eventEnds = [][]byte{[]byte("\n\n"), []byte("\n\r\n"), []byte("\r\r")}
 
+// maxEventEnd is the length of the longest of eventEnds.
+const maxEventEnd = 3
+
 var idField = []byte("id:")
 
 // lastEventEnd returns the length of the complete events at the start of b.
--- a/internal/run/gateway/stream.go
+++ b/internal/run/gateway/stream.go
@@ -15,7 +15,7 @@
 	// readBufferBytes bounds one read from a stream.
 	readBufferBytes = 4 << 10
 	// maxEventBytes bounds one event.
-	maxEventBytes = 1 << 20
+	maxEventBytes = 256 << 10
 )
 
 // stream is the state of a streamed answer over all its attempts.
@@ -34,11 +34,15 @@
 func (h *handler) relayEvents(answer *http1.Answer, d core.Dispatch) error {
 	h.stream.attempt = attemptPace{}
 	var pending []byte
+	relayed := 0
 	buffer := make([]byte, readBufferBytes)
 	for {
 		n, err := answer.Read(buffer)
+		searched := max(len(pending)-maxEventEnd, 0)
 		pending = append(pending, buffer[:n]...)
-		if end := lastEventEnd(pending); end > 0 {
+		if end := lastEventEnd(pending[searched:]); end > 0 {
+			end += searched
+			relayed += end
 			if err := h.writeEvents(answer, d, pending[:end]); err != nil {
 				return err
 			}
@@ -53,7 +57,9 @@
 		case err != nil:
 			return err
 		case len(pending) > maxEventBytes:
-			return errors.Wrap(errMalformed, "event exceeds the size limit")
+			return errors.Wrapf(errMalformed, "event exceeds %d bytes", maxEventBytes)
+		case relayed > maxAnswerBytes:
+			return errors.Wrapf(errMalformed, "stream exceeds %d bytes", maxAnswerBytes)
 		}
 	}
 }
--- a/internal/wire/http1/answer.go
+++ b/internal/wire/http1/answer.go
@@ -70,11 +70,31 @@
 		a.complete = true
 	case err != nil:
 		a.failed = true
-		err = &Error{Step: "body", Peer: a.conn.address, Written: true, Err: err}
+		err = a.readError("body", err)
 	}
 	return n, err
 }
 
+// readError returns the error of a step in which reading the answer failed.
+func (a *Answer) readError(step string, err error) error {
+	return &Error{Step: step, Peer: a.conn.address, Written: true, Malformed: isMalformed(err), Err: err}
+}
+
+// Length returns the length of the body, -1 if the head does not have it.
+func (a *Answer) Length() int64 { return a.response.ContentLength }
+
+// Drain reads up to limit bytes of a body that is not used, within a time, so that
+// the connection can be reused if the answer ends there.
+func (a *Answer) Drain(limit int64, within time.Duration) error {
+	if err := a.conn.SetReadDeadline(time.Now().Add(within)); err != nil {
+		return err
+	}
+	if _, err := io.CopyN(io.Discard, a, limit); err != nil && err != io.EOF {
+		return err
+	}
+	return a.conn.SetReadDeadline(time.Time{})
+}
+
 // Close ends the exchange. The connection returns to the pool if the answer was
 // read to its end and no bytes follow it; otherwise it is closed.
 func (a *Answer) Close() {
--- a/internal/wire/http1/doc.go
+++ b/internal/wire/http1/doc.go
@@ -20,6 +20,12 @@
 // Read returns io.EOF at the end that the answer's framing gives. With FramingClose
 // that is an orderly close of the connection, which a crashed upstream causes, too.
 //
+// # Limits
+//
+// The head of an answer is bounded in bytes, a body by its reader; the time of both
+// is bounded by the context. An [Error] says whether the bytes that arrived are no
+// answer.
+//
 // # Usage
 //
 //	pool := http1.New(http1.Config{Clock: clock})
--- a/internal/wire/http1/pool.go
+++ b/internal/wire/http1/pool.go
@@ -33,6 +33,8 @@
 	// connection stays in the pool, so that the upstream does not close it while
 	// a request is being sent.
 	idleFraction = 0.5
+	// MaxHeadBytes bounds the head of an answer, informational ones included.
+	MaxHeadBytes = 64 << 10
 	// asyncBodyBytes is the size above which a body is written concurrently with
 	// reading the answer, since an upstream may answer before it has read the
 	// whole body.
@@ -56,6 +58,8 @@
 	net.Conn
 	address string
 	reader  *bufio.Reader
+	// limit bounds what reader reads.
+	limit *limitedReader
 	// expires is the time until which the connection may be reused.
 	expires time.Time
 }
@@ -136,7 +140,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: nc, address: address, reader: bufio.NewReader(nc)}, nil
+	limit := &limitedReader{reader: nc}
+	return &conn{Conn: nc, address: address, reader: bufio.NewReader(limit), limit: limit}, nil
 }
 
 // put returns a connection to the pool, for at most idle.
@@ -211,10 +216,12 @@
 // readHead reads the head of the final answer and skips informational (1xx)
 // ones.
 func (a *Answer) readHead() error {
+	a.conn.limit.set(MaxHeadBytes)
+	defer a.conn.limit.clear()
 	for {
 		resp, err := http.ReadResponse(a.conn.reader, &http.Request{Method: a.method})
 		if err != nil {
-			return &Error{Step: "head", Peer: a.conn.address, Written: true, Err: err}
+			return a.readError("head", err)
 		}
 		if resp.StatusCode >= http.StatusOK {
 			a.response = resp
--- a/internal/wire/http1/request.go
+++ b/internal/wire/http1/request.go
@@ -51,7 +51,9 @@
 	Peer string
 	// Written is set if the upstream may have received the request.
 	Written bool
-	Err     error
+	// Malformed is set if the bytes that arrived are no answer or exceed a limit.
+	Malformed bool
+	Err       error
 }
 
 // Error returns the step, the peer and the cause.
@@ -67,6 +69,12 @@
 	return !errors.As(err, &e) || e.Written
 }
 
+// Malformed reports whether err shows that the bytes that arrived are no answer.
+func Malformed(err error) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Malformed
+}
+
 // countingWriter counts the bytes written to w.
 type countingWriter struct {
 	w       io.Writer
