--- a/cmd/monsoonlanding/caller.go
+++ b/cmd/monsoonlanding/caller.go
@@ -13,6 +13,7 @@
 	"monsoonlanding/internal/run/clock"
 	"monsoonlanding/internal/tool/load"
 	"monsoonlanding/internal/wire/callerhttp"
+	"monsoonlanding/internal/wire/http1"
 )
 
 // callerFlags holds the node addresses and the team key of the caller commands.
@@ -27,7 +28,7 @@
 }
 
 func (f *callerFlags) client() *callerhttp.Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: 256}
+	transport := &http.Transport{MaxIdleConnsPerHost: 256, MaxResponseHeaderBytes: http1.MaxHeadBytes}
 	return callerhttp.NewClient(f.nodes, f.key, &http.Client{Transport: transport}, clock.System{})
 }
 
--- a/cmd/monsoonlanding/gateway.go
+++ b/cmd/monsoonlanding/gateway.go
@@ -128,8 +128,9 @@
 func platformClient() *http.Client {
 	dialer := http1.Dialer(platformConnectTimeout)
 	return &http.Client{Transport: &http.Transport{
-		DialContext:     dialer.DialContext,
-		IdleConnTimeout: platformIdleTimeout,
+		DialContext:            dialer.DialContext,
+		IdleConnTimeout:        platformIdleTimeout,
+		MaxResponseHeaderBytes: http1.MaxHeadBytes,
 	}}
 }
 
--- a/cmd/monsoonlanding/operator.go
+++ b/cmd/monsoonlanding/operator.go
@@ -16,9 +16,14 @@
 	"monsoonlanding/internal/core/operator"
 	"monsoonlanding/internal/core/peer"
 	"monsoonlanding/internal/run/clock"
+	"monsoonlanding/internal/wire/http1"
 	"monsoonlanding/internal/wire/operatorhttp"
 )
 
+// operatorTimeout bounds a call to a node. It is longer than a node waits for the
+// platform when rules are replaced.
+const operatorTimeout = 30 * time.Second
+
 // operatorFlags holds the node's operator address and the token of the operator
 // commands.
 type operatorFlags struct {
@@ -32,7 +37,11 @@
 }
 
 func (f *operatorFlags) client() *operatorhttp.Client {
-	return operatorhttp.NewClient(f.address, f.token, http.DefaultClient)
+	client := &http.Client{
+		Transport: &http.Transport{MaxResponseHeaderBytes: http1.MaxHeadBytes},
+		Timeout:   operatorTimeout,
+	}
+	return operatorhttp.NewClient(f.address, f.token, client)
 }
 
 func newStatus() *cobra.Command {
