wire: answers without end are bounded on the product's own interface

Lists of objects and VMs, operators' calls and lists of addresses were read to their end, whatever that was; an engine's token events until the request's deadline, all of them held in memory; a caller's stream without any bound in time. One function reads documents; it stood in five places.

--- a/internal/run/node/runner.go
+++ b/internal/run/node/runner.go
@@ -17,6 +17,7 @@
 	"monsoonlanding/internal/run/clock"
 	"monsoonlanding/internal/run/settings"
 	"monsoonlanding/internal/wire/cloudhttp"
+	"monsoonlanding/internal/wire/http1"
 	"monsoonlanding/internal/wire/objecthttp"
 	"monsoonlanding/internal/wire/operatorhttp"
 	"monsoonlanding/internal/wire/peerws"
@@ -194,9 +195,10 @@
 
 func newTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
-		MaxIdleConnsPerHost: 64,
-		IdleConnTimeout:     upstreamIdleTimeout,
+		DialContext:            (&net.Dialer{Timeout: time.Second}).DialContext,
+		MaxIdleConnsPerHost:    64,
+		IdleConnTimeout:        upstreamIdleTimeout,
+		MaxResponseHeaderBytes: http1.MaxHeadBytes,
 	}
 }
 
--- a/internal/wire/callerhttp/client.go
+++ b/internal/wire/callerhttp/client.go
@@ -18,6 +18,7 @@
 
 	"monsoonlanding/internal/core/caller"
 	"monsoonlanding/internal/run/clock"
+	"monsoonlanding/internal/wire/http1"
 )
 
 // Call is one request of a caller.
@@ -55,6 +56,10 @@
 	// maxEventBytes bounds one event. All existing tokens of a resumed answer
 	// arrive in a single event.
 	maxEventBytes = 16 << 20
+	// maxDocumentBytes bounds a list of addresses and a problem document.
+	maxDocumentBytes = 64 << 10
+	// maxAnswerBytes bounds the events of one attempt.
+	maxAnswerBytes = 64 << 20
 	// resumeDelay is the delay before a broken call is resumed at another node.
 	resumeDelay = 50 * time.Millisecond
 )
@@ -88,7 +93,7 @@
 			last = errors.Wrapf(err, "get addresses: node %s", seed)
 			continue
 		}
-		err = json.NewDecoder(resp.Body).Decode(&list)
+		err = decodeDocument(resp.Body, &list)
 		_ = resp.Body.Close()
 		if err == nil && len(list.Addresses) > 0 {
 			return list, nil
@@ -98,6 +103,15 @@
 	return list, last
 }
 
+// decodeDocument decodes a JSON document of at most maxDocumentBytes.
+func decodeDocument(body io.Reader, into any) error {
+	document, err := http1.ReadDocument(body, maxDocumentBytes)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(document, into)
+}
+
 // candidates returns the cached addresses and the seeds, in random order.
 func (c *Client) candidates() []string {
 	c.mu.Lock()
@@ -202,6 +216,8 @@
 	if s.run != "" {
 		header.Set(headerLastEvent, formatPosition(s.run, len(s.result.Tokens)))
 	}
+	ctx, cancel := context.WithTimeout(ctx, s.deadline.Sub(c.clock.Now()))
+	defer cancel()
 	resp, err := c.do(ctx, http.MethodPost, address, "/v1/services/"+url.PathEscape(s.Service)+"/requests", header, s.Body)
 	if err != nil {
 		return false, err
@@ -218,7 +234,7 @@
 // other refusal ends the call.
 func (s *call) handleRefusal(resp *http.Response) (bool, error) {
 	var p Problem
-	if err := json.NewDecoder(io.LimitReader(resp.Body, 64<<10)).Decode(&p); err != nil {
+	if err := decodeDocument(resp.Body, &p); err != nil {
 		return false, errors.Wrapf(err, "decode refusal with status %d", resp.StatusCode)
 	}
 	refusal := p.refusalOf()
@@ -230,10 +246,14 @@
 }
 
 func (c *Client) readEvents(s *call, body io.Reader) (bool, error) {
+	read := 0
 	for ev, err := range sse.Read(body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
 		if err != nil {
 			return false, errors.Wrap(err, "read answer stream")
 		}
+		if read += len(ev.Data); read > maxAnswerBytes {
+			return false, errors.Errorf("read answer stream: more than %d bytes", maxAnswerBytes)
+		}
 		finished, err := c.handleEvent(s, ev)
 		if finished || err != nil || s.movedTo != "" {
 			return finished, err
--- a/internal/wire/cloudhttp/client.go
+++ b/internal/wire/cloudhttp/client.go
@@ -18,6 +18,7 @@
 	"github.com/go-faster/errors"
 
 	"monsoonlanding/internal/core/upstream"
+	"monsoonlanding/internal/wire/http1"
 )
 
 const (
@@ -25,6 +26,8 @@
 	VMsPath = "/v1/vms"
 	// NoticePath is the path of reclaim notices; a VM's name follows it.
 	NoticePath = "/v1/notices/"
+	// maxDocumentBytes bounds the list of VMs and a notice.
+	maxDocumentBytes = 8 << 20
 )
 
 // VM is an entry of the list of upstream VMs.
@@ -107,7 +110,11 @@
 	if resp.StatusCode != http.StatusOK {
 		return false, errors.Errorf("cloud: read %s: got status %d, expected 200 or 404", path, resp.StatusCode)
 	}
-	if err := json.NewDecoder(resp.Body).Decode(into); err != nil {
+	document, err := http1.ReadDocument(resp.Body, maxDocumentBytes)
+	if err != nil {
+		return false, errors.Wrapf(err, "cloud: read %s", path)
+	}
+	if err := json.Unmarshal(document, into); err != nil {
 		return false, errors.Wrapf(err, "cloud: decode %s", path)
 	}
 	return true, nil
--- a/internal/wire/objecthttp/client.go
+++ b/internal/wire/objecthttp/client.go
@@ -16,7 +16,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -35,6 +34,8 @@
 	ObjectsPath = "/v1/objects/"
 	// MaxValueBytes bounds the size of a value.
 	MaxValueBytes = 1 << 20
+	// maxListBytes bounds a list, which has a path and a revision per object.
+	maxListBytes = 8 << 20
 	// watchTimeout is the time after which the platform is asked to end a watch
 	// that found no new revision.
 	watchTimeout = 20 * time.Second
@@ -96,14 +97,7 @@
 	if http1.FramingOf(resp) == http1.FramingClose {
 		return nil, errors.New("got a value without a mark of its end, expected a length or chunks")
 	}
-	value, err := io.ReadAll(io.LimitReader(resp.Body, MaxValueBytes+1))
-	if err != nil {
-		return nil, err
-	}
-	if len(value) > MaxValueBytes {
-		return nil, errors.Errorf("got a value of more than %d bytes", MaxValueBytes)
-	}
-	return value, nil
+	return http1.ReadDocument(resp.Body, MaxValueBytes)
 }
 
 // Put updates an object if it has the given revision, and returns the new
@@ -150,8 +144,12 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, errors.Errorf("platform: list %s: status %d", prefix, resp.StatusCode)
 	}
+	document, err := http1.ReadDocument(resp.Body, maxListBytes)
+	if err != nil {
+		return nil, errors.Wrapf(err, "platform: list %s", prefix)
+	}
 	var list []ListEntry
-	if err := json.NewDecoder(resp.Body).Decode(&list); err != nil {
+	if err := json.Unmarshal(document, &list); err != nil {
 		return nil, errors.Wrapf(err, "platform: list %s", prefix)
 	}
 	if list == nil {
--- a/internal/wire/operatorhttp/client.go
+++ b/internal/wire/operatorhttp/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -12,8 +11,13 @@
 	"github.com/go-faster/errors"
 
 	"monsoonlanding/internal/core/node"
+	"monsoonlanding/internal/wire/http1"
 )
 
+// maxAnswerBytes bounds an answer. The history has all accepted revisions of the
+// rules.
+const maxAnswerBytes = 64 << 20
+
 // Client is a client of one node's operator API.
 type Client struct {
 	base  string
@@ -81,7 +85,7 @@
 		return 0, errors.Wrapf(err, "operator: %s %s", method, path)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	answer, err := io.ReadAll(resp.Body)
+	answer, err := http1.ReadDocument(resp.Body, maxAnswerBytes)
 	if err != nil {
 		return resp.StatusCode, errors.Wrapf(err, "operator: read answer to %s %s", method, path)
 	}
--- a/internal/wire/upstreamhttp/client.go
+++ b/internal/wire/upstreamhttp/client.go
@@ -50,6 +50,8 @@
 	maxResultBytes = 1 << 20
 	// maxEventBytes bounds one event of an engine's answer.
 	maxEventBytes = 1 << 20
+	// maxStreamBytes bounds the tokens of one answer, which nodes hold in memory.
+	maxStreamBytes = 8 << 20
 	// maxLoadBytes bounds a load report.
 	maxLoadBytes = 1 << 10
 )
@@ -203,11 +205,11 @@
 }
 
 func readResult(ctx context.Context, attempt uint64, resp *http.Response) node.Event {
-	result, err := io.ReadAll(io.LimitReader(resp.Body, maxResultBytes+1))
-	if err != nil {
+	result, err := http1.ReadDocument(resp.Body, maxResultBytes)
+	whole := !errors.Is(err, http1.ErrTooLarge)
+	if err != nil && whole {
 		return failureEvent(ctx, attempt, err, node.CauseCrashed)
 	}
-	whole := len(result) <= maxResultBytes
 	if whole && http1.FramingOf(resp) == http1.FramingClose && !marksItsEnd(result) {
 		return failureEvent(ctx, attempt, io.ErrUnexpectedEOF, node.CauseCrashed)
 	}
@@ -228,10 +230,14 @@
 }
 
 func (c *Client) readStream(ctx context.Context, d node.Dispatch, resp *http.Response, report func(node.Event)) node.Event {
+	read := 0
 	for ev, err := range sse.Read(resp.Body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
 		if err != nil {
 			return failureEvent(ctx, d.Attempt, err, node.CauseCrashed)
 		}
+		if read += len(ev.Data); read > maxStreamBytes {
+			return node.UpstreamFailed{Attempt: d.Attempt, Cause: node.CauseError, Detail: "the answer exceeds 8 MiB"}
+		}
 		switch ev.Type {
 		case EventToken:
 			var t Token
