--- a/internal/core/gateway/attempt.go
+++ b/internal/core/gateway/attempt.go
@@ -60,7 +60,7 @@
 	if r.move == nil {
 		g.countEnd(r, e.Result)
 	}
-	g.recordEvidence(r, e)
+	g.recordEnd(r, e)
 	if e.Framing != "" && !r.began {
 		g.recordLimit(r, e.RateLimit)
 	}
@@ -82,22 +82,6 @@
 	g.dispatchQueue(g.queue(r.service))
 }
 
-// recordEvidence records what the end of an attempt says about the request's traits
-// and about its upstream.
-func (g *Gateway) recordEvidence(r *request, e Ended) {
-	switch e.Result {
-	case ResultComplete, ResultErrored:
-		g.recordLife(r)
-		g.recordSound(r)
-	case ResultFull, ResultRefused:
-		g.recordLife(r)
-	case ResultBroken:
-		if r.move == nil {
-			g.recordBreak(r, e)
-		}
-	}
-}
-
 // logEnd logs the end of an attempt. If the connection broke, the line has what the
 // request shares with others, to find out whether it crashed the upstream.
 func (g *Gateway) logEnd(r *request, e Ended) {
--- a/internal/core/gateway/quarantine.go
+++ b/internal/core/gateway/quarantine.go
@@ -46,6 +46,22 @@
 	return 2*g.contactCount(silentIntervals) > len(g.members)+1 && g.isFirstInContact(string(t))
 }
 
+// recordEnd records what the end of an attempt says about the request's traits
+// and about its upstream.
+func (g *Gateway) recordEnd(r *request, e Ended) {
+	switch e.Result {
+	case ResultComplete, ResultErrored:
+		g.recordLife(r)
+		g.recordSound(r)
+	case ResultFull, ResultRefused:
+		g.recordLife(r)
+	case ResultBroken:
+		if r.move == nil {
+			g.recordBreak(r, e)
+		}
+	}
+}
+
 // recordBreak records an attempt that broke as evidence on its request's traits.
 func (g *Gateway) recordBreak(r *request, e Ended) {
 	sign := quarantine.SignNothing
--- a/internal/core/gateway/rollout_evidence.go
+++ b/internal/core/gateway/rollout_evidence.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"monsoonlanding/internal/core/average"
 	"monsoonlanding/internal/core/rollout"
 	"monsoonlanding/internal/core/route"
 )
@@ -41,25 +42,14 @@
 type routePace struct {
 	// begin is the time until an answer begins, interval the time between the
 	// events of a stream.
-	begin, interval movingAverage
-}
-
-// movingAverage is an exponentially weighted mean, 0 before the first value.
-type movingAverage struct{ mean time.Duration }
-
-func (a *movingAverage) observe(took time.Duration) {
-	if a.mean == 0 {
-		a.mean = took
-		return
-	}
-	a.mean += time.Duration(averageWeight * float64(took-a.mean))
+	begin, interval average.Duration
 }
 
 // pace returns the usual times of a route.
 func (g *Gateway) pace(route string) *routePace {
 	p := g.paces[route]
 	if p == nil {
-		p = &routePace{}
+		p = &routePace{begin: average.Duration{Weight: averageWeight}, interval: average.Duration{Weight: averageWeight}}
 		g.paces[route] = p
 	}
 	return p
@@ -85,7 +75,7 @@
 // whichever is shorter. It returns 0 while neither is known.
 func (g *Gateway) lateAfter(r *request) time.Duration {
 	limit := r.route.LatencyGoal
-	if mean := g.pace(r.route.Name).begin.mean; mean > 0 {
+	if mean := g.pace(r.route.Name).begin.Value(); mean > 0 {
 		slow := max(slowFactor*mean, minSlowLatency)
 		if limit <= 0 || slow < limit {
 			limit = slow
@@ -97,7 +87,7 @@
 // maxInterval returns the interval between events above which a stream of the
 // request's route counts as late, 0 while none is known.
 func (g *Gateway) maxInterval(r *request) time.Duration {
-	mean := g.pace(r.route.Name).interval.mean
+	mean := g.pace(r.route.Name).interval.Value()
 	if mean == 0 {
 		return 0
 	}
@@ -114,7 +104,7 @@
 		g.countGood(r)
 	}
 	if !g.isNewVersion(r) {
-		g.pace(r.route.Name).begin.observe(took)
+		g.pace(r.route.Name).begin.Observe(took)
 	}
 }
 
@@ -124,7 +114,7 @@
 	g.countIfLate(r, interval, g.maxInterval(r))
 	g.countGood(r)
 	if !g.isNewVersion(r) {
-		g.pace(r.route.Name).interval.observe(interval)
+		g.pace(r.route.Name).interval.Observe(interval)
 	}
 }
 
--- a/internal/core/node/admission.go
+++ b/internal/core/node/admission.go
@@ -3,23 +3,14 @@
 import (
 	"time"
 
+	"monsoonlanding/internal/core/average"
 	"monsoonlanding/internal/core/caller"
 	"monsoonlanding/internal/core/team"
 )
 
-// estimate is a moving average of the run time of a service's requests.
-type estimate struct{ mean time.Duration }
-
-// estimateWeight is the weight of the latest sample in the moving average.
-const estimateWeight = 0.1
-
-func (e *estimate) add(d time.Duration) {
-	if e.mean == 0 {
-		e.mean = d
-		return
-	}
-	e.mean += time.Duration(estimateWeight * float64(d-e.mean))
-}
+// runTimeWeight is the weight of the latest run in the mean run time of a service's
+// requests.
+const runTimeWeight = 0.1
 
 // retryAfterBusy is the retry delay sent to a caller that is refused because of
 // load or another temporary condition.
@@ -223,7 +214,7 @@
 // expectedDuration estimates how long a new request takes: its own run, and the
 // queue ahead of it at the rate of this node's share of the capacity.
 func (n *Node) expectedDuration(service string) time.Duration {
-	mean := n.estimate(service).mean
+	mean := n.runTime(service).Value()
 	queued := n.queue(service).Len()
 	if queued == 0 {
 		return mean
@@ -232,13 +223,14 @@
 	return mean + mean*time.Duration(queued)/time.Duration(slots)
 }
 
-func (n *Node) estimate(service string) *estimate {
-	e := n.estimates[service]
-	if e == nil {
-		e = &estimate{}
-		n.estimates[service] = e
+// runTime returns the mean run time of a service's requests.
+func (n *Node) runTime(service string) *average.Duration {
+	mean := n.runTimes[service]
+	if mean == nil {
+		mean = &average.Duration{Weight: runTimeWeight}
+		n.runTimes[service] = mean
 	}
-	return e
+	return mean
 }
 
 func (n *Node) queue(service string) *team.Queue {
--- a/internal/core/node/dispatch.go
+++ b/internal/core/node/dispatch.go
@@ -287,7 +287,7 @@
 		n.recordResult(r, e.Result)
 		return
 	}
-	n.estimate(a.upstream.Service).add(n.now.Sub(a.started))
+	n.runTime(a.upstream.Service).Observe(n.now.Sub(a.started))
 	n.recordOutcome(a, r, false)
 	n.recordResult(r, e.Result)
 	n.complete(r, e.Result)
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -6,6 +6,7 @@
 	"sort"
 	"time"
 
+	"monsoonlanding/internal/core/average"
 	"monsoonlanding/internal/core/caller"
 	"monsoonlanding/internal/core/operator"
 	"monsoonlanding/internal/core/peer"
@@ -119,7 +120,7 @@
 	poison     *upstream.PoisonDetector
 	budgets    map[string]*upstream.RetryBudget
 	queues     map[string]*team.Queue
-	estimates  map[string]*estimate
+	runTimes   map[string]*average.Duration
 	records    map[string]*record
 	attempts   map[uint64]*attempt
 	subs       map[uint64]*subscription
@@ -171,7 +172,7 @@
 		poison:     upstream.NewPoisonDetector(),
 		budgets:    make(map[string]*upstream.RetryBudget),
 		queues:     make(map[string]*team.Queue),
-		estimates:  make(map[string]*estimate),
+		runTimes:   make(map[string]*average.Duration),
 		records:    make(map[string]*record),
 		attempts:   make(map[uint64]*attempt),
 		subs:       make(map[uint64]*subscription),
