gateway, wire/http1: idle connections to an upstream are bounded for all nodes

An upstream accepts a number of connections from all nodes together and resets those beyond it. The configured number was read and used nowhere; each node kept as many idle connections as its own peak had needed. What lies beyond an upstream's slots is now divided by the nodes that are known, one at least; a node closes a connection that would exceed its part.

--- a/internal/core/gateway/effect.go
+++ b/internal/core/gateway/effect.go
@@ -28,6 +28,9 @@
 	// From is the KV cache of the request's previous run. It is zero for a run
 	// from the start or from the caller's last event.
 	From KVCache
+	// MaxIdleConns bounds this node's idle connections to the upstream, 0 for no
+	// bound.
+	MaxIdleConns int
 	// Streaming, Resumable and EngineWork describe the route and service.
 	Streaming, Resumable, EngineWork bool
 }
--- a/internal/core/gateway/request.go
+++ b/internal/core/gateway/request.go
@@ -234,22 +234,32 @@
 		g.upstreams.RecordCacheMove(u.ID, r.conn)
 	}
 	g.emit(Dispatch{
-		Conn:       r.conn,
-		Attempt:    r.attempt,
-		Upstream:   u,
-		Team:       r.teamName(),
-		Deadline:   r.deadline,
-		Urgency:    r.urgency(),
-		From:       from,
-		Streaming:  r.route.Kind == route.KindStreaming,
-		Resumable:  r.route.Resumable,
-		EngineWork: engine,
+		Conn:         r.conn,
+		Attempt:      r.attempt,
+		Upstream:     u,
+		Team:         r.teamName(),
+		Deadline:     r.deadline,
+		Urgency:      r.urgency(),
+		From:         from,
+		MaxIdleConns: g.maxIdleConns(service, u),
+		Streaming:    r.route.Kind == route.KindStreaming,
+		Resumable:    r.route.Resumable,
+		EngineWork:   engine,
 	})
 	g.logRequest(r, "place", "dispatched", "upstream", u.ID, "attempt", r.attempt, "moved", from != (KVCache{}),
 		"running", load.Running, "prefill", load.Prefill, "input", r.req.Prompt.InputTokens,
 		"waited_ms", g.now.Sub(r.arrived).Milliseconds(), "config", g.table.Version())
 }
 
+// maxIdleConns returns this node's part of the connections that an upstream accepts
+// from all nodes beyond those that its slots need.
+func (g *Gateway) maxIdleConns(service *route.Service, u placement.Upstream) int {
+	if service == nil || service.MaxConnections <= 0 {
+		return 0
+	}
+	return max((service.MaxConnections-u.Slots)/(len(g.members)+1), 1)
+}
+
 // lowestUrgency is the value of the lowest urgency that engines accept; 0 is
 // the highest urgency.
 const lowestUrgency = 9
--- a/internal/core/gateway/request_test.go
+++ b/internal/core/gateway/request_test.go
@@ -222,3 +222,20 @@
 	effects = b.reduce(Began{Conn: first, Attempt: d.Attempt})
 	b.Assert(b.dispatch(effects).Conn, qt.Equals, urgent)
 }
+
+// TestIdleConnectionsOfAllNodes: the idle connections of all nodes to an upstream
+// leave its slots free; a node that is known but silent may hold some, too.
+func TestIdleConnectionsOfAllNodes(t *testing.T) {
+	b := newBench(t, "a")
+	config := testConfig(1)
+	config.Services[0].MaxConnections = 96
+	b.reduce(ConfigRead{Config: config, Body: []byte("1"), Source: "store"})
+	b.reduce(RolloutsChanged{})
+	b.list(up("d1", "desk"))
+	_, effects := b.arrive("/book/1")
+	b.Assert(b.dispatch(effects).MaxIdleConns, qt.Equals, 90)
+	b.receive(status("b"))
+	b.reduce(NodesListed{Nodes: []NodeEntry{{Node: "a"}, {Node: "b"}, {Node: "silent"}}})
+	_, effects = b.arrive("/book/1")
+	b.Assert(b.dispatch(effects).MaxIdleConns, qt.Equals, 30)
+}
--- a/internal/run/gateway/attempt.go
+++ b/internal/run/gateway/attempt.go
@@ -53,11 +53,12 @@
 func (h *handler) exchange(ctx context.Context, d core.Dispatch, remaining time.Duration) core.Ended {
 	h.stream.partialBytes = 0
 	answer, err := h.runner.upstreams.Do(ctx, d.Upstream.Address, &http1.Request{
-		Method: h.r.Method,
-		Target: h.r.RequestURI,
-		Host:   h.r.Host,
-		Header: h.runner.cfg.Protocol.EncodeHeader(h.r.Header, d, remaining, h.stream.lastID),
-		Body:   h.body,
+		Method:  h.r.Method,
+		Target:  h.r.RequestURI,
+		Host:    h.r.Host,
+		Header:  h.runner.cfg.Protocol.EncodeHeader(h.r.Header, d, remaining, h.stream.lastID),
+		Body:    h.body,
+		MaxIdle: d.MaxIdleConns,
 	})
 	if err != nil {
 		return failedAttempt(err)
--- a/internal/wire/http1/answer.go
+++ b/internal/wire/http1/answer.go
@@ -37,6 +37,8 @@
 	stop     func() bool
 	complete bool
 	failed   bool
+	// maxIdle is that of the request.
+	maxIdle int
 }
 
 // Status returns the status code.
@@ -106,7 +108,7 @@
 		_ = a.conn.Close()
 		return
 	}
-	a.pool.put(a.conn, idleTimeout(a.response.Header))
+	a.pool.put(a.conn, idleTimeout(a.response.Header), a.maxIdle)
 }
 
 func (a *Answer) reusable() bool {
--- a/internal/wire/http1/pool.go
+++ b/internal/wire/http1/pool.go
@@ -99,7 +99,7 @@
 	if err != nil {
 		return nil, &Error{Step: "connect", Peer: address, Err: err}
 	}
-	a := &Answer{pool: p, conn: c, method: r.Method}
+	a := &Answer{pool: p, conn: c, method: r.Method, maxIdle: r.MaxIdle}
 	// A deadline in the past interrupts pending reads and writes.
 	a.stop = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	if err := a.exchange(r); err != nil {
@@ -144,11 +144,16 @@
 	return &conn{Conn: nc, address: address, reader: bufio.NewReader(limit), limit: limit}, nil
 }
 
-// put returns a connection to the pool, for at most idle.
-func (p *Pool) put(c *conn, idle time.Duration) {
+// put returns a connection to the pool, for at most idle, or closes it if there are
+// maxIdle for the upstream already; 0 means no such bound.
+func (p *Pool) put(c *conn, idle time.Duration, maxIdle int) {
 	c.expires = p.cfg.Clock.Now().Add(idle)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if maxIdle > 0 && len(p.idle[c.address]) >= maxIdle {
+		_ = c.Close()
+		return
+	}
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
--- a/internal/wire/http1/pool_test.go
+++ b/internal/wire/http1/pool_test.go
@@ -254,3 +254,23 @@
 	c.Assert(idleTimeout(http.Header{"Keep-Alive": []string{"timeout=5, max=10"}}), qt.Equals, 2500*time.Millisecond)
 	c.Assert(idleTimeout(http.Header{}), qt.Equals, defaultIdleTimeout)
 }
+
+// TestIdleConnectionsAreBounded: connections beyond the bound are closed after their
+// answers.
+func TestIdleConnectionsAreBounded(t *testing.T) {
+	c := qt.New(t)
+	server := newServer(c, answerWith(func(*http.Request) string { return okAnswer }))
+	p := newPool()
+	var answers []*Answer
+	for range 4 {
+		a, err := p.Do(context.Background(), server.address, &Request{Method: "GET", Target: "/x", Host: "h", Header: http.Header{}, MaxIdle: 2})
+		c.Assert(err, qt.IsNil)
+		_, err = io.ReadAll(a)
+		c.Assert(err, qt.IsNil)
+		answers = append(answers, a)
+	}
+	for _, a := range answers {
+		a.Close()
+	}
+	c.Assert(p.idle[server.address], qt.HasLen, 2)
+}
--- a/internal/wire/http1/request.go
+++ b/internal/wire/http1/request.go
@@ -18,6 +18,9 @@
 	// Header must not contain Content-Length, Host or connection headers.
 	Header http.Header
 	Body   []byte
+	// MaxIdle bounds the idle connections to the upstream after the exchange, 0 for
+	// no bound.
+	MaxIdle int
 }
 
 // write writes the request, with a Content-Length header for its body, and
