--- a/internal/tool/emulator/caller.go
+++ b/internal/tool/emulator/caller.go
@@ -151,7 +151,7 @@
 	begin, end, prefilled := u.accept(s.now.Add(messageLatency), c.request.Prompt)
 	s.countPrefill(u, c.request.Prompt, prefilled)
 	current := func() bool { return s.pending[d.Conn] == c && c.runsOn == u && !u.crashed }
-	if s.pattern.CrashingPart != nil && hasPart(c.request.Prompt, crashingPartID) {
+	if s.pattern.CrashingPart.crashes(s.now.Sub(startTime), c.request.Prompt) {
 		s.oracle.crashing.arrived(s.now)
 		s.at(begin, func() {
 			if current() {
--- a/internal/tool/emulator/crashing.go
+++ b/internal/tool/emulator/crashing.go
@@ -19,6 +19,9 @@
 	// First is set if the part stands in place of the group, else it stands in
 	// place of the prefix.
 	First bool
+	// Known is set if the part is one of the kind's prefixes, which is sound until
+	// From.
+	Known bool
 	// Sign is what the node gets of the answer that crashes the engine.
 	Sign CrashSign
 	// From and To are the times of the first and the last such request.
@@ -36,8 +39,21 @@
 	SignEvent   CrashSign = "event"
 )
 
+// id returns the ID of the part.
+func (p *CrashingPart) id() string {
+	if p.Known {
+		return p.Route + "/0"
+	}
+	return "crashing"
+}
+
+// crashes reports whether a request crashes the engine that begins to answer it at
+// a time.
+func (p *CrashingPart) crashes(at time.Duration, prompt placement.Prompt) bool {
+	return p != nil && at >= p.From && hasPart(prompt, p.id())
+}
+
 const (
-	crashingPartID = "crashing"
 	// crashingTeam sends the requests that crash engines.
 	crashingTeam = "team-0"
 	// engineRestartTime is the time from a crash until the engine is back.
@@ -58,7 +74,7 @@
 		if p.First {
 			position = 0
 		}
-		c.request.Prompt.Parts[position].ID = crashingPartID
+		c.request.Prompt.Parts[position].ID = p.id()
 		s.at(c.firstSubmitted, func() { s.submit(c) })
 	}
 }
@@ -104,7 +120,7 @@
 
 // submitted records a caller's first submission.
 func (o *crashingOracle) submitted(c *caller) {
-	if o.part != nil && c.kind.Route == o.part.Route && !hasPart(c.request.Prompt, crashingPartID) && c.team == crashingTeam {
+	if o.part != nil && c.kind.Route == o.part.Route && !hasPart(c.request.Prompt, o.part.id()) && c.team == crashingTeam {
 		o.sound = append(o.sound, c)
 	}
 }
--- a/internal/tool/emulator/crashing_test.go
+++ b/internal/tool/emulator/crashing_test.go
@@ -56,6 +56,7 @@
 		{"restart before the crashes", func(_ *Setup, p *Pattern) { p.RestartAt = 9 * time.Second }},
 		{"restart of all nodes amid the crashes", func(_ *Setup, p *Pattern) { p.RestartAt = 25 * time.Second }},
 		{"restart of all nodes, seldom", func(_ *Setup, p *Pattern) { p.RestartAt, p.CrashingPart.Rate = 30*time.Second, 0.5 }},
+		{"part that was sound before", func(_ *Setup, p *Pattern) { p.CrashingPart.Known = true }},
 		{"often", func(_ *Setup, p *Pattern) { p.CrashingPart.Rate = 10 }},
 		{"seldom", func(_ *Setup, p *Pattern) { p.CrashingPart.Rate = 0.4 }},
 		{"partition", func(_ *Setup, p *Pattern) {
