quarantine: reports name broken processes instead of all that answered

What it would have cost: for a minute after any connection had broken, each status named all processes that had just answered, some 14 bytes each, and up to 16 traits with all of their crashes. With 60 engines that more than doubles a status of 731 bytes, sent by 60 nodes to each other every 0.6 s, some of them behind 10 Mbit/s.

Now a node names the processes at which its attempts have just broken, for 2 s, and the others answer for those only. A single crash is reported for 3 s, and 8 crashes a trait at most. The time until a crash counts against a part has one more status in it.

--- a/internal/core/gateway/quarantine.go
+++ b/internal/core/gateway/quarantine.go
@@ -100,7 +100,8 @@
 // judge decides which traits are quarantined, and refuses the waiting requests
 // that have them.
 func (g *Gateway) judge() {
-	settle := 2*g.interval() + quarantine.LifeMargin
+	// A report, an answer to it after the margin and the report of that.
+	settle := 3*g.interval() + quarantine.LifeMargin
 	changed := g.quarantine.Judge(g.now, settle)
 	if len(changed) == 0 {
 		return
--- a/internal/core/quarantine/evidence.go
+++ b/internal/core/quarantine/evidence.go
@@ -19,7 +19,10 @@
 // Report is what a node tells the others.
 type Report struct {
 	Evidence []Evidence `cbor:"1,keyasint,omitempty"`
-	// Alive holds the processes that have just answered the node.
+	// Broken holds the processes at which attempts of the node have just broken.
+	Broken []uint64 `cbor:"3,keyasint,omitempty"`
+	// Alive holds those of the processes in other nodes' Broken that have just
+	// answered the node.
 	Alive []Life `cbor:"2,keyasint,omitempty"`
 }
 
--- a/internal/core/quarantine/exchange.go
+++ b/internal/core/quarantine/exchange.go
@@ -8,18 +8,31 @@
 
 // Report returns what the other nodes need to know.
 func (r *Register) Report(now time.Time) Report {
-	if len(r.entries) == 0 {
-		return Report{}
+	return Report{Evidence: r.reportEvidence(now), Broken: r.reportBroken(now), Alive: r.reportAlive(now)}
+}
+
+// reportBroken returns the processes that may have crashed just now.
+func (r *Register) reportBroken(now time.Time) []uint64 {
+	var list []uint64
+	for id, involvements := range r.crashes {
+		for _, i := range involvements {
+			if !i.refuted && now.Sub(i.at) < refuteWindow {
+				list = append(list, id)
+				break
+			}
+		}
 	}
-	return Report{Evidence: r.reportEvidence(now), Alive: r.reportAlive(now)}
+	slices.Sort(list)
+	return list
 }
 
-// reportAlive returns the processes that have just answered, by which the other
-// nodes refute the crashes that they suspect.
+// reportAlive returns the processes that other nodes suspect and that have just
+// answered.
 func (r *Register) reportAlive(now time.Time) []Life {
 	var list []Life
-	for id, at := range r.alive {
-		if age := now.Sub(at); age < refuteWindow {
+	for id, asked := range r.asked {
+		at, known := r.alive[id]
+		if age := now.Sub(at); known && age < refuteWindow && now.Sub(asked) < refuteWindow {
 			list = append(list, Life{ID: id, Age: age})
 		}
 	}
@@ -73,13 +86,19 @@
 	for id, i := range e.crashes {
 		out.Crashes = append(out.Crashes, Crash{ID: id, Age: now.Sub(i.at), Head: i.head, Refuted: i.refuted, Cleared: i.cleared})
 	}
-	slices.SortFunc(out.Crashes, func(a, b Crash) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(out.Crashes, func(a, b Crash) int {
+		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.ID, b.ID))
+	})
+	out.Crashes = out.Crashes[:min(len(out.Crashes), maxReportedCrashes)]
 	return out
 }
 
 // Merge adds a peer's report. The evidence of a break only grows, so the order of
 // reports does not matter.
 func (r *Register) Merge(now time.Time, node string, report Report) {
+	for _, id := range report.Broken {
+		r.asked[id] = now
+	}
 	for _, life := range report.Alive {
 		r.refute(now.Add(-life.Age), life.ID)
 	}
--- a/internal/core/quarantine/register.go
+++ b/internal/core/quarantine/register.go
@@ -30,7 +30,9 @@
 	// maxReported bounds the traits that are not quarantined in a report to the
 	// other nodes, and recentCrash the age of a single crash that is in it.
 	maxReported = 16
-	recentCrash = 5 * time.Second
+	recentCrash = 3 * time.Second
+	// maxReportedCrashes bounds the crashes of a trait in a report, the latest first.
+	maxReportedCrashes = 8
 )
 
 // Register holds the evidence of all nodes.
@@ -38,8 +40,9 @@
 	entries map[Trait]*entry
 	// crashes holds the involvements in each crash by its ID.
 	crashes map[uint64]map[Trait]*involvement
-	// alive holds when each upstream's process last answered this node.
-	alive map[uint64]time.Time
+	// alive holds when each upstream's process last answered this node, asked when a
+	// peer last reported that attempts broke there.
+	alive, asked map[uint64]time.Time
 	// sound counts the recent sound runs of traits without a crash.
 	sound map[Trait]*decayingCount
 }
@@ -58,7 +61,7 @@
 func New() *Register {
 	return &Register{
 		entries: make(map[Trait]*entry), crashes: make(map[uint64]map[Trait]*involvement),
-		alive: make(map[uint64]time.Time), sound: make(map[Trait]*decayingCount),
+		alive: make(map[uint64]time.Time), asked: make(map[uint64]time.Time), sound: make(map[Trait]*decayingCount),
 	}
 }
 
@@ -165,11 +168,8 @@
 			r.sound[t] = &decayingCount{n: min(n, maxSoundBefore), at: now}
 		}
 	}
-	for id, at := range r.alive {
-		if now.Sub(at) > refuteWindow {
-			delete(r.alive, id)
-		}
-	}
+	expire(r.alive, now, refuteWindow)
+	expire(r.asked, now, refuteWindow)
 	for t, s := range r.sound {
 		if now.Sub(s.at) > crashRetention {
 			delete(r.sound, t)
@@ -177,6 +177,15 @@
 	}
 }
 
+// expire removes the times that are older than an age.
+func expire(times map[uint64]time.Time, now time.Time, age time.Duration) {
+	for id, at := range times {
+		if now.Sub(at) > age {
+			delete(times, id)
+		}
+	}
+}
+
 // expireCrashes removes a trait's crashes that are too old; those of a quarantined
 // trait expire together.
 func (r *Register) expireCrashes(now time.Time, e *entry) {
