--- a/internal/core/gateway/quarantine.go
+++ b/internal/core/gateway/quarantine.go
@@ -95,7 +95,7 @@
 func (g *Gateway) recordLife(r *request) { g.quarantine.RecordLife(g.now, r.process) }
 
 // processID identifies the process of an upstream.
-func processID(u placement.Upstream) uint64 { return quarantine.CrashID(u.ID, u.StartedAt) }
+func processID(u placement.Upstream) uint64 { return quarantine.ProcessID(u.ID, u.StartedAt) }
 
 // judge decides which traits are quarantined, and refuses the waiting requests
 // that have them.
--- a/internal/core/quarantine/doc.go
+++ b/internal/core/quarantine/doc.go
@@ -33,7 +33,8 @@
 //
 //	r := quarantine.New()
 //	traits := quarantine.Traits([]string{"part-1", "part-2"}, contentHash)
-//	r.RecordCrash(now, quarantine.CrashID("engine-1", startedAt), traits, quarantine.SignHead)
+//	r.RecordCrash(now, quarantine.ProcessID("engine-1", startedAt), traits, quarantine.SignHead)
+//	r.RecordLife(now, quarantine.ProcessID("engine-2", startedAt))
 //	r.RecordSound(now, traits, false)
 //	r.Judge(now, settleTime)
 //	if admission := r.Admit(now, traits, mayProbe); admission == quarantine.Refused {
--- a/internal/core/quarantine/register.go
+++ b/internal/core/quarantine/register.go
@@ -38,7 +38,7 @@
 // Register holds the evidence of all nodes.
 type Register struct {
 	entries map[Trait]*entry
-	// crashes holds the involvements in each crash by its ID.
+	// crashes holds the involvements in each crash by the ID of the process.
 	crashes map[uint64]map[Trait]*involvement
 	// alive holds when each upstream's process last answered this node, asked when a
 	// peer last reported that attempts broke there.
@@ -65,7 +65,8 @@
 	}
 }
 
-// RecordCrash records that an attempt with the traits broke at an upstream.
+// RecordCrash records that an attempt with the traits broke at an upstream's
+// process.
 func (r *Register) RecordCrash(now time.Time, id uint64, traits []Trait, sign Sign) {
 	for depth, t := range traits {
 		r.involve(now, t, depth, id, involvement{at: now, head: sign == SignHead})
--- a/internal/core/quarantine/register_test.go
+++ b/internal/core/quarantine/register_test.go
@@ -220,13 +220,13 @@
 // TestOneProcessCrashesOnce: all attempts that break at a process are one crash.
 func TestOneProcessCrashesOnce(t *testing.T) {
 	p := newPlay(t)
-	id := CrashID("u", epoch)
+	id := ProcessID("u", epoch)
 	for range 5 {
 		p.r.RecordCrash(p.now, id, p.request("p1"), SignHead)
 	}
 	p.now = p.now.Add(settle)
 	p.Assert(p.judge(), qt.HasLen, 0)
-	p.Assert(CrashID("u", epoch.Add(time.Second)), qt.Not(qt.Equals), id)
+	p.Assert(ProcessID("u", epoch.Add(time.Second)), qt.Not(qt.Equals), id)
 }
 
 // TestRepeatedContent: a request that comes again is quarantined at its second
--- a/internal/core/quarantine/trait.go
+++ b/internal/core/quarantine/trait.go
@@ -44,9 +44,9 @@
 	return 3
 }
 
-// CrashID returns the ID of the crash of an upstream's process. A process crashes
-// once, however many attempts break there.
-func CrashID(upstream string, startedAt time.Time) uint64 {
+// ProcessID returns the ID of an upstream's process. A process crashes once, however
+// many attempts break there, so that its ID is also that of its crash.
+func ProcessID(upstream string, startedAt time.Time) uint64 {
 	return xxhash.Sum64String(upstream + "/" + strconv.FormatInt(startedAt.UnixMilli(), 10))
 }
 
