--- a/internal/run/gateway/status_bench_test.go
+++ b/internal/run/gateway/status_bench_test.go
@@ -9,6 +9,7 @@
 	core "monsoonlanding/internal/core/gateway"
 	"monsoonlanding/internal/core/peer"
 	"monsoonlanding/internal/core/placement"
+	"monsoonlanding/internal/core/quarantine"
 	"monsoonlanding/internal/wire/peerws"
 )
 
@@ -48,7 +49,8 @@
 }
 
 // BenchmarkEncodeStatus measures the cost of encoding a status message, with
-// and without the usage counts that are sent to some nodes only.
+// and without the usage counts that are sent to some nodes only, and with the
+// evidence while engines crash and name limits.
 func BenchmarkEncodeStatus(b *testing.B) {
 	codec, err := peerws.NewCodec()
 	if err != nil {
@@ -57,7 +59,9 @@
 	full := busyStatus(1, time.Now())
 	withoutUsage := full
 	withoutUsage.Usage = nil
-	for name, s := range map[string]peer.Status{"full": full, "without usage": withoutUsage} {
+	troubled := withoutUsage
+	addTroubles(&troubled)
+	for name, s := range map[string]peer.Status{"full": full, "without usage": withoutUsage, "troubled": troubled} {
 		b.Run(name, func(b *testing.B) {
 			size := 0
 			for b.Loop() {
@@ -92,3 +96,21 @@
 	}
 	return s
 }
+
+// addTroubles adds the evidence of 40 crashes and the limits of 10 upstreams to a
+// status.
+func addTroubles(s *peer.Status) {
+	now := time.Now()
+	r := quarantine.New()
+	for id := range uint64(40) {
+		for neighbour := range uint64(4) {
+			parts := []string{"5c1e07a2", fmt.Sprintf("%08x", (id*4+neighbour)%30)}
+			r.RecordCrash(now, id<<40, quarantine.Traits(parts, id*4+neighbour), quarantine.SignNothing)
+		}
+	}
+	s.Quarantine = r.Report(now)
+	for _, load := range s.Load {
+		limit := placement.RateLimit{Named: true, PerSecond: 1.2}
+		s.Limits = append(s.Limits, placement.ObservedLimit{Upstream: load.Upstream, Limit: limit, Age: time.Second})
+	}
+}
