--- a/internal/tool/emulator/crashing_test.go
+++ b/internal/tool/emulator/crashing_test.go
@@ -1,7 +1,6 @@
 package emulator
 
 import (
-	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -9,8 +8,6 @@
 	qt "github.com/frankban/quicktest"
 )
 
-var crashingPlays = flag.Uint64("crashing.plays", 2, "number of plays of each row of requests that crash engines")
-
 // crashingPattern has prompts of two shared parts, one of which crashes engines.
 func crashingPattern(part CrashingPart) Pattern {
 	kinds := typicalMix(1)
@@ -25,7 +22,7 @@
 // which share a prompt part, crashed engines without end (BUDGET), since nodes
 // counted crashes by the whole content only. For more plays:
 //
-//	go test ./internal/tool/emulator -run Crashes -crashing.plays 50
+//	go test ./internal/tool/emulator -run Crashes -emulator.plays 50
 func TestPromptPartThatCrashesEngines(t *testing.T) {
 	for _, route := range []string{"check", "ask", "plan"} {
 		for _, first := range []bool{false, true} {
@@ -33,7 +30,7 @@
 				t.Run(fmt.Sprintf("%s/first=%t/%s", route, first, sign), func(t *testing.T) {
 					t.Parallel()
 					c := qt.New(t)
-					for seed := range *crashingPlays {
+					for seed := range *plays {
 						p := crashingPattern(CrashingPart{Route: route, Rate: 1.5, First: first, Sign: sign})
 						r := Run(DefaultSetup(seed+1), p)
 						c.Check(r.Violations, qt.HasLen, 0, qt.Commentf("seed %d", seed+1))
@@ -73,7 +70,7 @@
 		t.Run(row.name, func(t *testing.T) {
 			t.Parallel()
 			c := qt.New(t)
-			for seed := range *crashingPlays {
+			for seed := range *plays {
 				part, setup := base, DefaultSetup(seed+1)
 				p := crashingPattern(part)
 				row.setup(&setup, &p)
@@ -101,7 +98,7 @@
 		t.Run(p.Name, func(t *testing.T) {
 			t.Parallel()
 			c := qt.New(t)
-			for seed := range *crashingPlays {
+			for seed := range *plays {
 				r := Run(DefaultSetup(seed+1), p)
 				c.Check(r.WronglySuspected, qt.Equals, 0, qt.Commentf("seed %d", seed+1))
 			}
--- a/internal/tool/emulator/fuzz_test.go
+++ b/internal/tool/emulator/fuzz_test.go
@@ -20,6 +20,10 @@
 	fuzzQuota = 120_000
 )
 
+// plays is the number of times that rows with random load are played, each with
+// another seed.
+var plays = flag.Uint64("emulator.plays", 2, "number of plays of each row")
+
 // TestMain fixes the seed and the number of random patterns, so that results are
 // reproducible; -rapid.seed and -rapid.checks override them.
 func TestMain(m *testing.M) {
--- a/internal/tool/emulator/limit_test.go
+++ b/internal/tool/emulator/limit_test.go
@@ -54,7 +54,7 @@
 		t.Run(row.name, func(t *testing.T) {
 			t.Parallel()
 			c := qt.New(t)
-			for seed := range *crashingPlays {
+			for seed := range *plays {
 				setup, p := DefaultSetup(seed+1), limitedPattern(row.upstreams, row.perSecond)
 				setup.Nodes = row.nodes
 				if row.change != nil {
