quarantine: a suspect is reported although many connections break

Where a tenth of the runs is reset, popular parts have broken at many processes within a minute. Reports have room for 16 traits that are not quarantined and took those with the most breaks, though these were refuted or outweighed by sound runs; a part with one crash at each of several nodes was never reported by any of them.

Now only breaks that are not refuted make a suspect, and reports take those that the evidence speaks against most.

--- a/internal/core/quarantine/exchange.go
+++ b/internal/core/quarantine/exchange.go
@@ -40,45 +40,61 @@
 	return list
 }
 
-// reportEvidence returns the evidence on quarantined traits, on those with several
-// crashes and on recent ones, the most crashes first.
+// reportEvidence returns the evidence on quarantined traits, and on those that the
+// evidence of this node speaks against most.
 func (r *Register) reportEvidence(now time.Time) []Evidence {
-	var list []*entry
-	for _, e := range r.entries {
-		if e.quarantined || len(e.crashes) > 1 || now.Sub(e.lastCrash()) < recentCrash {
-			list = append(list, e)
-		}
-	}
-	slices.SortFunc(list, func(a, b *entry) int {
-		return cmp.Or(
-			boolCompare(b.quarantined, a.quarantined),
-			cmp.Compare(len(b.crashes), len(a.crashes)),
-			b.lastCrash().Compare(a.lastCrash()),
-			cmp.Compare(a.trait, b.trait),
-		)
-	})
 	var reports []Evidence
-	others := 0
-	for _, e := range list {
-		if !e.quarantined {
-			others++
-		}
-		if others <= maxReported {
+	var suspects []suspect
+	for _, e := range r.entries {
+		if e.quarantined {
 			reports = append(reports, e.report(now))
+			continue
+		}
+		if s := e.suspect(); s.crashes > 1 || s.crashes == 1 && now.Sub(s.last) < recentCrash {
+			suspects = append(suspects, s)
 		}
 	}
+	slices.SortFunc(reports, func(a, b Evidence) int { return cmp.Compare(a.Trait, b.Trait) })
+	slices.SortFunc(suspects, compareSuspects)
+	for _, s := range suspects[:min(len(suspects), maxReported)] {
+		reports = append(reports, s.entry.report(now))
+	}
 	return reports
 }
 
-func boolCompare(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
-	default:
-		return -1
+// suspect is a trait with crashes that are neither refuted nor cleared.
+type suspect struct {
+	entry   *entry
+	crashes int
+	last    time.Time
+	// weight is the number of crashes less that of the sound runs that outweigh them.
+	weight float64
+}
+
+func (e *entry) suspect() suspect {
+	s := suspect{entry: e}
+	for _, i := range e.crashes {
+		if i.refuted || i.cleared {
+			continue
+		}
+		s.crashes++
+		if i.at.After(s.last) {
+			s.last = i.at
+		}
 	}
+	s.weight = float64(s.crashes) - soundWeight*e.sound()
+	return s
+}
+
+// compareSuspects orders suspects by weight. Parts go before contents, whose
+// crashes are mostly all known to one node.
+func compareSuspects(a, b suspect) int {
+	return cmp.Or(
+		cmp.Compare(b.weight, a.weight),
+		cmp.Compare(a.entry.trait.rank(), b.entry.trait.rank()),
+		b.last.Compare(a.last),
+		cmp.Compare(a.entry.trait, b.entry.trait),
+	)
 }
 
 func (e *entry) report(now time.Time) Evidence {
--- a/internal/core/quarantine/register_test.go
+++ b/internal/core/quarantine/register_test.go
@@ -392,6 +392,30 @@
 	p.Assert(len(p.r.entries) <= maxEntries, qt.IsTrue)
 }
 
+// TestSuspectIsReportedAmidResets: popular parts whose connections have broken many
+// times, and whose crashes are refuted or outweighed, don't keep a rare suspect out of
+// the reports.
+func TestSuspectIsReportedAmidResets(t *testing.T) {
+	p := newPlay(t)
+	for i := range 3 * maxReported {
+		part := fmt.Sprint("popular", i)
+		for id := range uint64(5) {
+			p.r.RecordCrash(p.now, 1000+id, p.request(part), SignNothing)
+			p.r.RecordSound(p.now, p.request(part), false)
+			p.r.RecordSound(p.now, p.request(part), false)
+		}
+	}
+	p.r.RecordCrash(p.now, 1, p.request("p1"), SignHead)
+	p.r.RecordCrash(p.now, 2, p.request("refuted"), SignHead)
+	p.r.RecordLife(p.now.Add(LifeMargin+time.Millisecond), 2)
+	var reported []Trait
+	for _, e := range p.r.Report(p.now).Evidence {
+		reported = append(reported, e.Trait)
+	}
+	p.Assert(reported[0], qt.Equals, part1)
+	p.Assert(reported, qt.Not(qt.Contains), Trait("part/refuted"))
+}
+
 // TestLongPartIsShortened: a caller's long part ID does not fill the reports.
 func TestLongPartIsShortened(t *testing.T) {
 	c := qt.New(t)
--- a/internal/core/quarantine/trait.go
+++ b/internal/core/quarantine/trait.go
@@ -34,6 +34,14 @@
 // IsContent reports whether the trait is the whole content of a request.
 func (t Trait) IsContent() bool { return strings.HasPrefix(string(t), contentPrefix) }
 
+// rank orders parts before contents.
+func (t Trait) rank() int {
+	if t.IsContent() {
+		return 1
+	}
+	return 0
+}
+
 // crashesNeeded returns the number of crashes without a sound run for which the
 // trait is quarantined. A content that has crashed two upstreams is hardly there
 // by chance; a part may be.
