gateway, platform: the store's generation and an announced leave are read and logged

What callers saw: requests refused as an older configuration says, and requests that reach upstreams which had said that they leave. The logs could not tell whether a store that was set back or an announcement that nobody reads is the cause.

Store-Era and Server-Leaving are decoded once, in platform/, and reach the reducer as typed events, which are logged; no decision reads them yet. A revision carries its generation from the answer that names it (package store). An answer with a malformed or lower generation is not used. A configuration in force is logged with its size.

Evidence: go test ./... passed; no decision changes, revisions are compared by number as before.

--- a/internal/core/gateway/attempt.go
+++ b/internal/core/gateway/attempt.go
@@ -16,6 +16,7 @@
 	r.began, r.beganAt = true, g.now
 	g.recordLife(r)
 	g.recordLimit(r, e.RateLimit)
+	g.recordLeaving(r, e.Leaving)
 	g.upstreams.RecordPrefillDone(g.now, r.upstream, r.conn)
 	if r.move == nil && !r.continuesRun {
 		g.countStart(r)
@@ -64,6 +65,9 @@
 	if e.Framing != "" && !r.began {
 		g.recordLimit(r, e.RateLimit)
 	}
+	if e.Framing != "" && !r.began && e.Result != ResultMisdirected {
+		g.recordLeaving(r, e.Leaving)
+	}
 	r.phase = phaseWaiting
 	r.answerSent = r.answerSent || e.AnswerSent
 	switch {
--- a/internal/core/gateway/duties_test.go
+++ b/internal/core/gateway/duties_test.go
@@ -9,6 +9,7 @@
 
 	"monsoonlanding/internal/core/leader"
 	"monsoonlanding/internal/core/peer"
+	"monsoonlanding/internal/core/store"
 )
 
 // claimedToken returns the fencing token in the last status among the effects.
@@ -33,7 +34,7 @@
 	b.receive(status("b"))
 	b.wait(3 * time.Second)
 	b.reduce(LeaseRead{Result: leader.ResultMissing})
-	lease := leader.Stored{Lease: leader.Lease{Holder: "a", ProcessStart: 1, FencingToken: 1}, Revision: 1}
+	lease := leader.Stored{Lease: leader.Lease{Holder: "a", ProcessStart: 1, FencingToken: 1}, Revision: store.Revision{Number: 1}}
 	write := func(effects []Effect) bool { return has(WriteLease{}, effects) }
 	for !write(b.wait(TickInterval)) {
 		b.receive(status("b"))
--- a/internal/core/gateway/effect.go
+++ b/internal/core/gateway/effect.go
@@ -9,6 +9,7 @@
 	"monsoonlanding/internal/core/placement"
 	"monsoonlanding/internal/core/quarantine"
 	"monsoonlanding/internal/core/rollout"
+	"monsoonlanding/internal/core/store"
 )
 
 // Effect is an action that the caller of Reduce executes.
@@ -88,7 +89,7 @@
 // LeaseWritten.
 type WriteLease struct {
 	Lease      leader.Lease
-	IfRevision int64
+	IfRevision store.Revision
 }
 
 // ReportUsage reports a window's usage; answered by UsageReported.
--- a/internal/core/gateway/event.go
+++ b/internal/core/gateway/event.go
@@ -10,6 +10,7 @@
 	"monsoonlanding/internal/core/quarantine"
 	"monsoonlanding/internal/core/rollout"
 	"monsoonlanding/internal/core/route"
+	"monsoonlanding/internal/core/store"
 )
 
 // Event is an input to Reduce.
@@ -48,6 +49,8 @@
 	Attempt int
 	// RateLimit is the limit that the upstream names in its answer.
 	RateLimit placement.RateLimit
+	// Leaving is set if the upstream says in its answer that it leaves.
+	Leaving bool
 }
 
 // Paced reports the pace of a stream, measured at its first PaceEvents events, or
@@ -74,6 +77,8 @@
 	Load *Load
 	// RateLimit is the limit that the upstream names in its answer.
 	RateLimit placement.RateLimit
+	// Leaving is set if the upstream says in its answer that it leaves.
+	Leaving bool
 	// Framing is the framing of the upstream's answer, empty without an answer.
 	Framing Framing
 	// PartialBytes is the size of the incomplete event with which a stream ended.
@@ -202,7 +207,7 @@
 // the store.
 type UpstreamsListed struct {
 	List     []placement.Upstream
-	Revision int64
+	Revision store.Revision
 }
 
 // UpstreamsChanged reports the entries of the list that were put or removed up
@@ -210,7 +215,7 @@
 type UpstreamsChanged struct {
 	Put      []placement.Upstream
 	Removed  []string
-	Revision int64
+	Revision store.Revision
 }
 
 // RolloutsChanged reports the rollouts that were ordered, changed or removed.
@@ -233,6 +238,10 @@
 	Bounds Bounds
 }
 
+// StoreGeneration reports that the store's answers name a later generation than before.
+// It comes before the results of the calls with these answers.
+type StoreGeneration struct{ Generation int64 }
+
 // StoreLost reports that the store does not answer.
 type StoreLost struct{}
 
@@ -306,6 +315,7 @@
 func (RolloutsChanged) event()   {}
 func (RolloutWritten) event()    {}
 func (SettingsChanged) event()   {}
+func (StoreGeneration) event()   {}
 func (StoreLost) event()         {}
 func (StoreRegained) event()     {}
 func (NodesListed) event()       {}
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"monsoonlanding/internal/core/quarantine"
 	"monsoonlanding/internal/core/quota"
 	"monsoonlanding/internal/core/route"
+	"monsoonlanding/internal/core/store"
 )
 
 // TickInterval is the interval between two Tick events.
@@ -79,7 +80,9 @@
 	rolloutsRead bool
 	// knownRevision is the revision of the store up to which the upstreams are
 	// known; changedRevision is that of the latest change among them.
-	knownRevision, changedRevision int64
+	knownRevision, changedRevision store.Revision
+	// storeGeneration is the latest generation of the store, named by its answers.
+	storeGeneration int64
 	// behindSince is when a peer first reported a change after knownRevision.
 	behindSince time.Time
 	storeDown   bool
@@ -92,6 +95,10 @@
 	// drainingSince holds when each draining upstream was first seen draining.
 	drainingSince map[string]time.Time
 
+	// leaving holds the processes of upstreams that have said in an answer that they
+	// leave.
+	leaving map[uint64]bool
+
 	requests        map[uint64]*request
 	queues          map[string]*serviceQueue
 	retryBudgets    map[string]*retryBudget
@@ -136,6 +143,7 @@
 		table:         &route.Table{},
 		missing:       make(map[string]bool),
 		drainingSince: make(map[string]time.Time),
+		leaving:       make(map[uint64]bool),
 		requests:      make(map[uint64]*request),
 		queues:        make(map[string]*serviceQueue),
 		retryBudgets:  make(map[string]*retryBudget),
@@ -210,6 +218,8 @@
 		g.upstreamsChanged(e)
 	case SettingsChanged:
 		g.settingsChanged(e)
+	case StoreGeneration:
+		g.storeGenerationRead(e.Generation)
 	case StoreLost:
 		g.storeLost()
 	case StoreRegained:
--- a/internal/core/gateway/helper_test.go
+++ b/internal/core/gateway/helper_test.go
@@ -12,6 +12,7 @@
 	"monsoonlanding/internal/core/peer"
 	"monsoonlanding/internal/core/placement"
 	"monsoonlanding/internal/core/route"
+	"monsoonlanding/internal/core/store"
 )
 
 // epoch is the time at which the tests start.
@@ -24,7 +25,7 @@
 	now  time.Time
 	conn uint64
 	// revision is the store's revision; it grows with each change of the list.
-	revision int64
+	revision store.Revision
 }
 
 func testBounds() Bounds {
@@ -72,7 +73,7 @@
 }
 
 func (b *bench) list(upstreams ...placement.Upstream) []Effect {
-	b.revision++
+	b.revision.Number++
 	return b.reduce(UpstreamsListed{List: upstreams, Revision: b.revision})
 }
 
--- a/internal/core/gateway/move_test.go
+++ b/internal/core/gateway/move_test.go
@@ -24,7 +24,7 @@
 func (b *bench) reclaim(id string, notice time.Duration) []Effect {
 	u := up(id, "model")
 	u.State, u.Reclaimable, u.StopsAt = placement.StateDraining, true, b.now.Add(notice)
-	b.revision++
+	b.revision.Number++
 	return b.reduce(UpstreamsChanged{Put: []placement.Upstream{u}, Revision: b.revision})
 }
 
--- a/internal/core/gateway/platform.go
+++ b/internal/core/gateway/platform.go
@@ -6,6 +6,7 @@
 	"monsoonlanding/internal/core/peer"
 	"monsoonlanding/internal/core/placement"
 	"monsoonlanding/internal/core/route"
+	"monsoonlanding/internal/core/store"
 )
 
 // relistGrace is the duration after the store's return in which the entries of
@@ -20,7 +21,8 @@
 	if e.Config.Version <= g.table.Version() {
 		return
 	}
-	g.log("config", "configuration in force", "version", e.Config.Version, "before", g.table.Version(), "source", e.Source)
+	g.log("config", "configuration in force", "version", e.Config.Version, "before", g.table.Version(), "source", e.Source,
+		"bytes", len(e.Body))
 	g.table = route.New(e.Config)
 	g.configBody = e.Body
 	g.pruneQuotas()
@@ -77,18 +79,18 @@
 }
 
 // newDelta returns an empty delta for a change at a revision of the store.
-func (g *Gateway) newDelta(revision int64) peer.UpstreamsDelta {
-	return peer.UpstreamsDelta{Revision: revision, Previous: g.changedRevision}
+func (g *Gateway) newDelta(revision store.Revision) peer.UpstreamsDelta {
+	return peer.UpstreamsDelta{Revision: revision.Number, Previous: g.changedRevision.Number, Generation: revision.Generation}
 }
 
 // sendDelta sends changes read from the store to the peers, few of which watch
 // the store.
 func (g *Gateway) sendDelta(delta peer.UpstreamsDelta) {
-	g.knownRevision = max(g.knownRevision, delta.Revision)
+	g.knownRevision = laterRevision(g.knownRevision, delta.At())
 	if len(delta.Put) == 0 && len(delta.Removed) == 0 {
 		return
 	}
-	g.changedRevision = max(g.changedRevision, delta.Revision)
+	g.changedRevision = laterRevision(g.changedRevision, delta.At())
 	for _, m := range g.sortedMembers() {
 		if g.inContact(m) && m.status.UpstreamsRevision < delta.Revision {
 			g.emit(Send{Node: m.node, Address: m.address, Message: delta})
@@ -99,33 +101,33 @@
 // deltaReceived applies changes that a peer has read from the store. If this
 // node has missed an earlier change, the complete list is read instead.
 func (g *Gateway) deltaReceived(from string, d peer.UpstreamsDelta) {
-	if d.Revision <= g.knownRevision || !g.upstreamsRead {
+	if d.Revision <= g.knownRevision.Number || !g.upstreamsRead {
 		return
 	}
-	if d.Previous > g.knownRevision {
+	if d.Previous > g.knownRevision.Number {
 		g.log("upstream", "listing upstreams, an earlier change was missed", "peer", from, "revision", d.Revision,
-			"previous", d.Previous, "own", g.knownRevision)
+			"previous", d.Previous, "own", g.knownRevision.Number)
 		g.emit(ListUpstreams{})
 		return
 	}
 	for _, u := range d.Put {
-		g.putUpstream(u, d.Revision, &peer.UpstreamsDelta{})
+		g.putUpstream(u, d.At(), &peer.UpstreamsDelta{})
 	}
 	for _, id := range d.Removed {
 		g.removeUpstream(id, &peer.UpstreamsDelta{})
 	}
-	g.knownRevision = d.Revision
-	g.changedRevision = max(g.changedRevision, d.Revision)
+	g.knownRevision = d.At()
+	g.changedRevision = laterRevision(g.changedRevision, d.At())
 	g.dispatchQueues()
 }
 
 // putUpstream adds or replaces an upstream and records a change in the delta.
-func (g *Gateway) putUpstream(u placement.Upstream, revision int64, delta *peer.UpstreamsDelta) {
+func (g *Gateway) putUpstream(u placement.Upstream, revision store.Revision, delta *peer.UpstreamsDelta) {
 	delete(g.missing, u.ID)
 	old, known := g.upstreams.Get(u.ID)
 	if !known || old.State != u.State || !old.StartedAt.Equal(u.StartedAt) || old.Address != u.Address {
 		g.log("upstream", "upstream listed", "upstream", u.ID, "service", u.Service, "zone", u.Zone,
-			"state", string(u.State), "revision", revision, "reclaimable", u.Reclaimable, "version", u.Version)
+			"state", string(u.State), "revision", revision.Number, "reclaimable", u.Reclaimable, "version", u.Version)
 		delta.Put = append(delta.Put, u)
 	}
 	g.upstreams.Put(u)
@@ -168,6 +170,25 @@
 	}
 }
 
+// laterRevision returns the revision with the higher number.
+func laterRevision(a, b store.Revision) store.Revision {
+	if a.Number < b.Number {
+		return b
+	}
+	return a
+}
+
+// storeGenerationRead processes a later generation of the store.
+func (g *Gateway) storeGenerationRead(generation int64) {
+	if generation <= g.storeGeneration {
+		return
+	}
+	g.log("store", "generation of store changed", "generation", generation, "before", g.storeGeneration,
+		"revision", g.knownRevision.Number, "config", g.table.Version(), "lease_held", g.lease.Held(),
+		"token", g.lease.FencingToken())
+	g.storeGeneration = generation
+}
+
 func (g *Gateway) storeLost() {
 	if g.storeDown {
 		return
--- a/internal/core/gateway/platform_test.go
+++ b/internal/core/gateway/platform_test.go
@@ -9,6 +9,7 @@
 
 	"monsoonlanding/internal/core/peer"
 	"monsoonlanding/internal/core/placement"
+	"monsoonlanding/internal/core/store"
 )
 
 func TestOlderConfigurationIsIgnored(t *testing.T) {
@@ -49,7 +50,7 @@
 		listed = listed || has(ListUpstreams{}, b.receive(s))
 	}
 	b.Assert(listed, qt.IsTrue)
-	b.reduce(UpstreamsListed{List: []placement.Upstream{up("d1", "desk")}, Revision: 9})
+	b.reduce(UpstreamsListed{List: []placement.Upstream{up("d1", "desk")}, Revision: store.Revision{Number: 9}})
 	for range 5 {
 		b.now = b.now.Add(250 * time.Millisecond)
 		b.Assert(has(ListUpstreams{}, b.receive(s)), qt.IsFalse)
@@ -82,11 +83,11 @@
 	b := newBench(t, "a")
 	b.ready(up("d1", "desk"))
 	b.reduce(StoreLost{})
-	b.reduce(UpstreamsChanged{Removed: []string{"d1"}, Revision: 2})
+	b.reduce(UpstreamsChanged{Removed: []string{"d1"}, Revision: store.Revision{Number: 2}})
 	b.wait(5 * time.Second)
 	b.reduce(StoreRegained{})
 	b.wait(time.Second)
-	b.reduce(UpstreamsChanged{Put: []placement.Upstream{up("d1", "desk")}, Revision: 3})
+	b.reduce(UpstreamsChanged{Put: []placement.Upstream{up("d1", "desk")}, Revision: store.Revision{Number: 3}})
 	b.wait(5 * time.Second)
 	_, effects := b.arrive("/book/1")
 	b.Assert(b.dispatch(effects).Upstream.ID, qt.Equals, "d1")
@@ -122,7 +123,7 @@
 	b.ready(up("d1", "desk"), up("d2", "desk"))
 	draining := up("d1", "desk")
 	draining.State = placement.StateDraining
-	b.reduce(UpstreamsChanged{Put: []placement.Upstream{draining}, Revision: 5})
+	b.reduce(UpstreamsChanged{Put: []placement.Upstream{draining}, Revision: store.Revision{Number: 5}})
 	for range 6 {
 		_, effects := b.arrive("/book/1")
 		b.Assert(b.dispatch(effects).Upstream.ID, qt.Equals, "d2")
@@ -184,8 +185,8 @@
 		a.Fatal("no upstreams delta among the effects")
 		return peer.UpstreamsDelta{}
 	}
-	first := deltaSent(UpstreamsChanged{Put: []placement.Upstream{draining, up("d3", "desk")}, Revision: 5})
-	second := deltaSent(UpstreamsChanged{Removed: []string{"d1"}, Revision: 6})
+	first := deltaSent(UpstreamsChanged{Put: []placement.Upstream{draining, up("d3", "desk")}, Revision: store.Revision{Number: 5}})
+	second := deltaSent(UpstreamsChanged{Removed: []string{"d1"}, Revision: store.Revision{Number: 6}})
 	a.Assert(has(ListUpstreams{}, b.reduce(PeerReceived{From: "a", Message: second})), qt.IsTrue)
 	b.reduce(PeerReceived{From: "a", Message: first})
 	u, _ := b.g.upstreams.Get("d1")
--- a/internal/core/gateway/rollouts.go
+++ b/internal/core/gateway/rollouts.go
@@ -7,6 +7,7 @@
 	"monsoonlanding/internal/core/peer"
 	"monsoonlanding/internal/core/placement"
 	"monsoonlanding/internal/core/rollout"
+	"monsoonlanding/internal/core/store"
 )
 
 // shareLifetime is the duration for which a traffic share from the lease holder
@@ -48,14 +49,14 @@
 	r := g.rollouts[order.Service]
 	// An order for another version, or one that reopens an ended rollout, starts
 	// with new counts.
-	if r == nil || r.order.Target != order.Target || order.Open() && !r.order.Open() && order.Revision > r.order.Revision {
+	if r == nil || r.order.Target != order.Target || order.Open() && !r.order.Open() && order.Revision.Number > r.order.Revision.Number {
 		r = &rolloutState{orderedAt: g.now}
 		g.rollouts[order.Service] = r
 		g.scheduleBroadcast(0)
 		g.log("rollout", "rollout ordered", "service", order.Service, "version", order.Target,
 			"within_ms", order.TimeLimit.Milliseconds(), "state", string(order.State))
 	}
-	if order.Revision < r.order.Revision {
+	if order.Revision.Number < r.order.Revision.Number {
 		return
 	}
 	if r.order.Open() && !order.Open() {
@@ -182,13 +183,13 @@
 // known time of its order. The store does not record that time.
 func (g *Gateway) mergeRollout(reported peer.RolloutStatus) {
 	known := g.rollouts[reported.Service]
-	if known == nil || known.order.Revision < reported.Revision {
+	if known == nil || known.order.Revision.Number < reported.Revision {
 		g.rolloutOrdered(rollout.Order{
-			Service: reported.Service, Target: reported.Version, TimeLimit: reported.TimeLimit, Revision: reported.Revision,
+			Service: reported.Service, Target: reported.Version, TimeLimit: reported.TimeLimit, Revision: store.Revision{Number: reported.Revision},
 		})
 	}
 	r := g.rollouts[reported.Service]
-	if r.order.Target != reported.Version || r.order.Revision != reported.Revision {
+	if r.order.Target != reported.Version || r.order.Revision.Number != reported.Revision {
 		return
 	}
 	if orderedAt := g.now.Add(-reported.Elapsed); orderedAt.Before(r.orderedAt) {
@@ -207,7 +208,7 @@
 		}
 		s := peer.RolloutStatus{
 			Service: service, Version: r.order.Target, Stopped: r.stopped,
-			TimeLimit: r.order.TimeLimit, Elapsed: g.now.Sub(r.orderedAt), Revision: r.order.Revision,
+			TimeLimit: r.order.TimeLimit, Elapsed: g.now.Sub(r.orderedAt), Revision: r.order.Revision.Number,
 			New: answerCounts(r.newer), Old: answerCounts(r.older),
 		}
 		if g.lease.Held() {
--- a/internal/core/gateway/rollouts_test.go
+++ b/internal/core/gateway/rollouts_test.go
@@ -10,6 +10,7 @@
 	"monsoonlanding/internal/core/peer"
 	"monsoonlanding/internal/core/placement"
 	"monsoonlanding/internal/core/rollout"
+	"monsoonlanding/internal/core/store"
 )
 
 func versioned(id, version string) placement.Upstream {
@@ -27,7 +28,7 @@
 			case ReadLease:
 				b.reduce(LeaseRead{Result: leader.ResultMissing})
 			case WriteLease:
-				b.reduce(LeaseWritten{Result: leader.ResultOK, Stored: leader.Stored{Lease: e.Lease, Revision: 1}})
+				b.reduce(LeaseWritten{Result: leader.ResultOK, Stored: leader.Stored{Lease: e.Lease, Revision: store.Revision{Number: 1}}})
 			}
 		}
 		if b.g.lease.Held() {
@@ -66,7 +67,7 @@
 }
 
 func (b *bench) orderRollout() {
-	b.reduce(RolloutsChanged{Orders: []rollout.Order{{Service: "desk", Target: "v2", TimeLimit: 12 * time.Second, Revision: 3}}})
+	b.reduce(RolloutsChanged{Orders: []rollout.Order{{Service: "desk", Target: "v2", TimeLimit: 12 * time.Second, Revision: store.Revision{Number: 3}}}})
 }
 
 func TestGoodVersionCompletesItsRollout(t *testing.T) {
--- a/internal/core/gateway/status.go
+++ b/internal/core/gateway/status.go
@@ -29,7 +29,8 @@
 		PeerAddress:       g.cfg.PeerAddress,
 		Ready:             g.Ready(),
 		ConfigVersion:     g.table.Version(),
-		UpstreamsRevision: g.changedRevision,
+		UpstreamsRevision: g.changedRevision.Number,
+		StoreGeneration:   g.storeGeneration,
 		StoreUnavailable:  g.storeDown,
 		Time:              g.clusterTime(),
 		Quarantine:        g.quarantine.Report(g.now),
@@ -152,7 +153,7 @@
 // relistIfBehind lists the upstreams again if the peer reports a change that
 // this node has not received from the store within syncGrace.
 func (g *Gateway) relistIfBehind(m *member) {
-	if m.status.UpstreamsRevision <= g.knownRevision {
+	if m.status.UpstreamsRevision <= g.knownRevision.Number {
 		return
 	}
 	// A behindSince that is older than this belongs to an earlier change.
@@ -165,7 +166,7 @@
 	}
 	g.behindSince = g.now
 	g.log("upstream", "listing upstreams, peer has a later revision", "peer", m.node,
-		"revision", m.status.UpstreamsRevision, "own", g.knownRevision)
+		"revision", m.status.UpstreamsRevision, "own", g.knownRevision.Number)
 	g.emit(ListUpstreams{})
 }
 
--- a/internal/core/gateway/stream_play_test.go
+++ b/internal/core/gateway/stream_play_test.go
@@ -7,6 +7,7 @@
 
 	"monsoonlanding/internal/core/placement"
 	"monsoonlanding/internal/core/rollout"
+	"monsoonlanding/internal/core/store"
 )
 
 // streamPlay plays streams through a node during a rollout.
@@ -152,5 +153,5 @@
 // order starts the new version's upstreams and orders the rollout.
 func (p *streamPlay) order() {
 	p.list(versionedModel("m1", "v1"), versionedModel("m2", "v1"), versionedModel("m3", "v2"), versionedModel("m4", "v2"))
-	p.reduce(RolloutsChanged{Orders: []rollout.Order{{Service: "model", Target: "v2", TimeLimit: 15 * time.Second, Revision: 3}}})
+	p.reduce(RolloutsChanged{Orders: []rollout.Order{{Service: "model", Target: "v2", TimeLimit: 15 * time.Second, Revision: store.Revision{Number: 3}}}})
 }
--- a/internal/core/leader/lease.go
+++ b/internal/core/leader/lease.go
@@ -1,6 +1,10 @@
 package leader
 
-import "time"
+import (
+	"time"
+
+	"monsoonlanding/internal/core/store"
+)
 
 // Lease is the content of the lease object.
 type Lease struct {
@@ -44,15 +48,15 @@
 // Stored is a lease with its revision in the store.
 type Stored struct {
 	Lease    Lease
-	Revision int64
+	Revision store.Revision
 }
 
 // StoreCall is a call to the store that the user of an Elector must make.
 type StoreCall struct {
 	// Write is the lease to write, nil for a read.
 	Write *Lease
-	// IfRevision is the revision that a write requires; 0 creates the object.
-	IfRevision int64
+	// IfRevision is the revision that a write requires; the zero value creates the object.
+	IfRevision store.Revision
 }
 
 const (
--- a/internal/core/leader/lease_test.go
+++ b/internal/core/leader/lease_test.go
@@ -5,32 +5,33 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"monsoonlanding/internal/core/store"
 )
 
 var epoch = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
 
 const term = 3 * time.Second
 
-// store is a fake store that holds the lease object.
-type store struct {
+// fakeStore is a fake store that holds the lease object.
+type fakeStore struct {
 	stored Stored
 	exists bool
 }
 
-func (s *store) write(call StoreCall) (Result, Stored) {
+func (s *fakeStore) write(call StoreCall) (Result, Stored) {
 	switch {
-	case !s.exists && call.IfRevision != 0:
+	case !s.exists && !call.IfRevision.IsZero():
 		return ResultMissing, Stored{}
 	case s.exists && call.IfRevision != s.stored.Revision:
 		return ResultConflict, s.stored
 	}
 	s.exists = true
-	s.stored = Stored{Lease: *call.Write, Revision: s.stored.Revision + 1}
+	s.stored = Stored{Lease: *call.Write, Revision: store.Revision{Number: s.stored.Revision.Number + 1}}
 	return ResultOK, s.stored
 }
 
 // apply executes a call at once and passes the result to the elector.
-func (s *store) apply(e *Elector, now time.Time, call StoreCall) {
+func (s *fakeStore) apply(e *Elector, now time.Time, call StoreCall) {
 	if call.Write == nil {
 		result := ResultOK
 		if !s.exists {
@@ -46,7 +47,7 @@
 // acquire calls Acquire repeatedly for the duration d until the elector holds
 // the lease. It returns the time at which it holds the lease, and false if it
 // does not within d.
-func (s *store) acquire(e *Elector, now time.Time, d time.Duration) (time.Time, bool) {
+func (s *fakeStore) acquire(e *Elector, now time.Time, d time.Duration) (time.Time, bool) {
 	for end := now.Add(d); now.Before(end); now = now.Add(100 * time.Millisecond) {
 		if call, ok := e.Acquire(now); ok {
 			s.apply(e, now, call)
@@ -60,7 +61,7 @@
 
 func TestFirstHolder(t *testing.T) {
 	c := qt.New(t)
-	s := &store{}
+	s := &fakeStore{}
 	e := New("a", 1, term)
 	at, ok := s.acquire(e, epoch, 5*time.Second)
 	c.Assert(ok, qt.IsTrue)
@@ -74,7 +75,7 @@
 // once and that the fencing token increases.
 func TestTakeoverWaitsForTheTerm(t *testing.T) {
 	c := qt.New(t)
-	s := &store{}
+	s := &fakeStore{}
 	a, b := New("a", 1, term), New("b", 1, term)
 	at, _ := s.acquire(a, epoch, 5*time.Second)
 	taken, ok := s.acquire(b, at, 10*time.Second)
@@ -91,7 +92,7 @@
 
 func TestRenewalPreventsTakeover(t *testing.T) {
 	c := qt.New(t)
-	s := &store{}
+	s := &fakeStore{}
 	a, b := New("a", 1, term), New("b", 1, term)
 	now, _ := s.acquire(a, epoch, 5*time.Second)
 	for range 20 {
@@ -106,7 +107,7 @@
 
 func TestReleasedLeaseIsTakenAtOnce(t *testing.T) {
 	c := qt.New(t)
-	s := &store{}
+	s := &fakeStore{}
 	a, b := New("a", 1, term), New("b", 1, term)
 	now, _ := s.acquire(a, epoch, 5*time.Second)
 	call, ok := a.Release(now)
@@ -119,7 +120,7 @@
 
 func TestNextProcessOnTheSameVMTakesOverAtOnce(t *testing.T) {
 	c := qt.New(t)
-	s := &store{}
+	s := &fakeStore{}
 	now, _ := s.acquire(New("a", 1, term), epoch, 5*time.Second)
 	next := New("a", 2, term)
 	taken, ok := s.acquire(next, now, 5*time.Second)
@@ -133,7 +134,7 @@
 // before the lease is renewed.
 func TestUnansweredWriteIsReadBack(t *testing.T) {
 	c := qt.New(t)
-	s := &store{}
+	s := &fakeStore{}
 	e := New("a", 1, term)
 	call, _ := e.Acquire(epoch)
 	s.apply(e, epoch, call)
@@ -158,7 +159,7 @@
 // outdated.
 func TestDelayedWriteIsRejected(t *testing.T) {
 	c := qt.New(t)
-	s := &store{}
+	s := &fakeStore{}
 	a, b := New("a", 1, term), New("b", 1, term)
 	now, _ := s.acquire(a, epoch, 5*time.Second)
 	late, _ := a.Renew(now.Add(retryInterval), nil)
@@ -174,7 +175,7 @@
 // is suspended.
 func TestSuspendedHolderDoesNotAct(t *testing.T) {
 	c := qt.New(t)
-	s := &store{}
+	s := &fakeStore{}
 	e := New("a", 1, term)
 	now, _ := s.acquire(e, epoch, 5*time.Second)
 	c.Assert(e.MayCallPlatform(now.Add(time.Minute)), qt.IsFalse)
@@ -182,7 +183,7 @@
 
 func TestReportOutlivesItsHolder(t *testing.T) {
 	c := qt.New(t)
-	s := &store{}
+	s := &fakeStore{}
 	a, b := New("a", 1, term), New("b", 1, term)
 	now, _ := s.acquire(a, epoch, 5*time.Second)
 	now = now.Add(retryInterval)
@@ -214,7 +215,7 @@
 // peers but not the store: it must not prevent them from taking over the lease.
 func TestUnconfirmedHolderMakesNoClaim(t *testing.T) {
 	c := qt.New(t)
-	s := &store{}
+	s := &fakeStore{}
 	e := New("a", 1, term)
 	now, ok := s.acquire(e, epoch, 3*time.Second)
 	c.Assert(ok, qt.IsTrue)
--- a/internal/core/peer/status.go
+++ b/internal/core/peer/status.go
@@ -5,6 +5,7 @@
 
 	"monsoonlanding/internal/core/placement"
 	"monsoonlanding/internal/core/quarantine"
+	"monsoonlanding/internal/core/store"
 )
 
 // Status is the status message that a gateway node broadcasts several times per
@@ -42,6 +43,9 @@
 	// UpstreamsRevision is the store's revision of the latest change to the
 	// sender's list of upstreams.
 	UpstreamsRevision int64 `cbor:"15,keyasint"`
+	// StoreGeneration is the generation of the store to which the revisions in the
+	// status belong.
+	StoreGeneration int64 `cbor:"21,keyasint,omitempty"`
 	// StoreUnavailable is set if the store does not respond to the sender.
 	StoreUnavailable bool `cbor:"17,keyasint,omitempty"`
 	// Rollouts is the sender's status of each open rollout.
@@ -122,6 +126,13 @@
 	Previous int64                `cbor:"2,keyasint"`
 	Put      []placement.Upstream `cbor:"3,keyasint,omitempty"`
 	Removed  []string             `cbor:"4,keyasint,omitempty"`
+	// Generation is the generation of the store to which the revisions belong.
+	Generation int64 `cbor:"5,keyasint,omitempty"`
+}
+
+// At returns the revision of the change.
+func (d UpstreamsDelta) At() store.Revision {
+	return store.Revision{Generation: d.Generation, Number: d.Revision}
 }
 
 // ConfigRequest requests a peer's configuration.
--- a/internal/core/rollout/rollout.go
+++ b/internal/core/rollout/rollout.go
@@ -1,6 +1,10 @@
 package rollout
 
-import "time"
+import (
+	"time"
+
+	"monsoonlanding/internal/core/store"
+)
 
 // State is the state of a rollout as published to the platform.
 type State string
@@ -23,7 +27,7 @@
 	// verdict.
 	State State
 	// Revision is the revision of the order's object in the store.
-	Revision int64
+	Revision store.Revision
 }
 
 // Open reports whether the rollout has no verdict yet.
--- a/internal/run/gateway/attempt.go
+++ b/internal/run/gateway/attempt.go
@@ -65,9 +65,9 @@
 	}
 	defer answer.Close()
 	head := h.runner.cfg.Protocol.ClassifyHead(h.request.ID, answer.Status(), answer.Header())
-	h.rateLimit = head.RateLimit
+	h.rateLimit, h.leaving = head.RateLimit, head.Leaving
 	ended := core.Ended{
-		Result: head.Result, Detail: head.Detail, Load: head.Load, RateLimit: head.RateLimit,
+		Result: head.Result, Detail: head.Detail, Load: head.Load, RateLimit: head.RateLimit, Leaving: head.Leaving,
 		Framing: core.Framing(answer.Framing()),
 	}
 	switch {
--- a/internal/run/gateway/feed.go
+++ b/internal/run/gateway/feed.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	core "monsoonlanding/internal/core/gateway"
+	"monsoonlanding/internal/core/store"
 )
 
 const (
@@ -23,20 +24,20 @@
 
 // follow submits the changes of a feed until the node stops.
 func (r *Runner) follow(f Feed) {
-	revision := int64(0)
+	revision := store.Revision{}
 	reported := ""
 	for r.ctx.Err() == nil {
 		changes, err := r.nextChanges(f, revision)
 		switch {
 		case errors.Is(err, errListDue):
-			revision = 0
+			revision = store.Revision{}
 		case errors.Is(err, ErrRelist):
-			r.log.Info().Str("step", "feed").Str("feed", f.Name).Int64("revision", revision).Msg("change history lost, listing again")
-			revision = 0
+			r.log.Info().Str("step", "feed").Str("feed", f.Name).Int64("revision", revision.Number).Msg("change history lost, listing again")
+			revision = store.Revision{}
 		case err != nil:
 			// Unlike a watch, a list returns as soon as the store is available
 			// again.
-			revision = 0
+			revision = store.Revision{}
 			r.backOffFeed(f, err)
 		default:
 			revision = changes.Revision
@@ -49,11 +50,11 @@
 // errListDue ends a watch or a wait when the feed must be listed.
 var errListDue = errors.New("list is due")
 
-// nextChanges lists the feed if revision is 0. Otherwise it watches the feed if
+// nextChanges lists the feed if revision is zero. Otherwise it watches the feed if
 // the node is assigned to watch; if not, it waits until the node's turn to list at
 // the latest. It returns errListDue when the feed must be listed again.
-func (r *Runner) nextChanges(f Feed, revision int64) (Changes, error) {
-	if revision == 0 {
+func (r *Runner) nextChanges(f Feed, revision store.Revision) (Changes, error) {
+	if revision.IsZero() {
 		return f.List(r.ctx)
 	}
 	ctx, cancel := context.WithCancelCause(r.ctx)
--- a/internal/run/gateway/handler.go
+++ b/internal/run/gateway/handler.go
@@ -42,6 +42,8 @@
 	stream stream
 	// rateLimit is the limit that the upstream names in the current answer.
 	rateLimit placement.RateLimit
+	// leaving is set if the upstream says in the current answer that it leaves.
+	leaving bool
 	// answer is the answer last read by bufferAnswer, nil before the first.
 	answer *bufferedAnswer
 }
--- a/internal/run/gateway/protocol.go
+++ b/internal/run/gateway/protocol.go
@@ -13,6 +13,7 @@
 	"monsoonlanding/internal/core/placement"
 	"monsoonlanding/internal/core/rollout"
 	"monsoonlanding/internal/core/route"
+	"monsoonlanding/internal/core/store"
 )
 
 // Protocol encodes and decodes the messages exchanged with callers and
@@ -50,6 +51,8 @@
 	Load *core.Load
 	// RateLimit is the limit that the upstream names.
 	RateLimit placement.RateLimit
+	// Leaving is set if the upstream says that it leaves.
+	Leaving bool
 }
 
 // Directory returns the addresses that callers can connect to, at most limit.
@@ -69,7 +72,7 @@
 // Changes are the changes of a feed up to a revision.
 type Changes struct {
 	Events   []core.Event
-	Revision int64
+	Revision store.Revision
 	// Problems has an error for each invalid entry.
 	Problems []error
 }
@@ -83,20 +86,24 @@
 	List func(ctx context.Context) (Changes, error)
 	// Watch returns the changes after a revision. It returns as soon as there is
 	// a change, or without changes when wait is over.
-	Watch func(ctx context.Context, revision int64, wait time.Duration) (Changes, error)
+	Watch func(ctx context.Context, revision store.Revision, wait time.Duration) (Changes, error)
 }
 
 // Services are the operations of the platform's store and API.
 type Services struct {
-	Feeds        []Feed
-	DecodeConfig func(body []byte) (route.Config, error)
-	ListNodes    func(ctx context.Context) (core.NodesListed, error)
-	RegisterNode func(ctx context.Context, node, peerAddress string) error
-	RemoveNode   func(ctx context.Context, node string) error
-	ReadLease    func(ctx context.Context) (core.LeaseRead, error)
-	WriteLease   func(ctx context.Context, l leader.Lease, ifRevision int64) (core.LeaseWritten, error)
-	ReportUsage  func(ctx context.Context, r leader.Report, token int64) error
-	WriteRollout func(ctx context.Context, o rollout.Order) (core.RolloutWritten, error)
+	Feeds []Feed
+	// FollowGeneration sets the functions that are called with each rise of the
+	// generation that the store's answers name, before the call with the answer returns,
+	// and with each new reason why an answer names no valid one.
+	FollowGeneration func(report func(generation int64), invalid func(error))
+	DecodeConfig     func(body []byte) (route.Config, error)
+	ListNodes        func(ctx context.Context) (core.NodesListed, error)
+	RegisterNode     func(ctx context.Context, node, peerAddress string) error
+	RemoveNode       func(ctx context.Context, node string) error
+	ReadLease        func(ctx context.Context) (core.LeaseRead, error)
+	WriteLease       func(ctx context.Context, l leader.Lease, ifRevision store.Revision) (core.LeaseWritten, error)
+	ReportUsage      func(ctx context.Context, r leader.Report, token int64) error
+	WriteRollout     func(ctx context.Context, o rollout.Order) (core.RolloutWritten, error)
 	// ReadQuarantine returns Done with an error if the store has answered and the
 	// answer can't be decoded.
 	ReadQuarantine  func(ctx context.Context) (core.QuarantineRead, error)
--- a/internal/run/gateway/relay_bench_test.go
+++ b/internal/run/gateway/relay_bench_test.go
@@ -82,7 +82,7 @@
 	for i, address := range addresses {
 		list.List = append(list.List, placement.Upstream{ID: fmt.Sprint("u", i), Service: "s", Address: address, Zone: "z", Slots: 100, State: placement.StateReady})
 	}
-	list.Revision = 1
+	list.Revision.Number = 1
 	r.submit(list)
 	return r
 }
--- a/internal/run/gateway/runner.go
+++ b/internal/run/gateway/runner.go
@@ -117,6 +117,9 @@
 		Bounds:        bounds(s),
 	}, rand.New(rand.NewPCG(uint64(start), 0)))
 	r.ctx, r.cancel = context.WithCancel(context.Background())
+	if follow := cfg.Services.FollowGeneration; follow != nil {
+		follow(r.storeGeneration, r.invalidGeneration)
+	}
 	var err error
 	r.peers, err = newPeers(s, r.log)
 	return r, err
@@ -293,6 +296,15 @@
 	}
 }
 
+// storeGeneration submits a rise of the store's generation.
+func (r *Runner) storeGeneration(generation int64) {
+	r.submit(core.StoreGeneration{Generation: generation})
+}
+
+func (r *Runner) invalidGeneration(err error) {
+	r.log.Warn().Str("step", "store").Err(err).Msg("answer of the store is not used")
+}
+
 // receive submits a message of a peer. A configuration is decoded first.
 func (r *Runner) receive(from string, m peer.Message) {
 	update, ok := m.(peer.ConfigUpdate)
--- a/internal/tool/emulator/nodes.go
+++ b/internal/tool/emulator/nodes.go
@@ -6,6 +6,7 @@
 
 	"monsoonlanding/internal/core/gateway"
 	"monsoonlanding/internal/core/placement"
+	"monsoonlanding/internal/core/store"
 )
 
 // startNodes starts all nodes without state.
@@ -46,7 +47,7 @@
 			list = append(list, u.Upstream)
 		}
 	}
-	s.reduce(node, gateway.UpstreamsListed{List: list, Revision: s.revision})
+	s.reduce(node, gateway.UpstreamsListed{List: list, Revision: store.Revision{Number: s.revision}})
 }
 
 func (s *simulation) sendUpstreamLists() {
