gateway: a read of the upstreams that was overtaken is ignored

Cause: a node's own list is read at the store, a later change arrives from a peer, and then the list is processed. It replaced all that was known, put the leaving upstream back to ready and removed new ones, until the node's next turn to list: 3.6 s among six nodes. Class: state that is set back by a source that learns last.

Change: a list or change older than what is known of the upstreams is ignored and logged.

--- a/internal/core/gateway/platform.go
+++ b/internal/core/gateway/platform.go
@@ -48,6 +48,9 @@
 
 // upstreamsListed replaces the known upstreams by the complete list.
 func (g *Gateway) upstreamsListed(e UpstreamsListed) {
+	if g.isOvertaken(e.Revision) {
+		return
+	}
 	g.upstreamsRead = true
 	present := make(map[string]bool, len(e.List))
 	delta := g.newDelta(e.Revision)
@@ -67,6 +70,9 @@
 // upstreamsChanged applies the changes of one read. They go to the peers in one
 // message, since they share a revision.
 func (g *Gateway) upstreamsChanged(e UpstreamsChanged) {
+	if g.isOvertaken(e.Revision) {
+		return
+	}
 	delta := g.newDelta(e.Revision)
 	for _, u := range e.Put {
 		g.putUpstream(u, e.Revision, &delta)
@@ -78,6 +84,16 @@
 	g.dispatchQueues()
 }
 
+// isOvertaken reports whether a read of the upstreams is older than what is known of them:
+// a peer may have sent a later change while the read was under way.
+func (g *Gateway) isOvertaken(read store.Revision) bool {
+	overtaken := g.upstreamsRead && read.Before(g.knownRevision)
+	if overtaken {
+		g.log("upstream", "read of upstreams was overtaken", "revision", read.Number, "own", g.knownRevision.Number)
+	}
+	return overtaken
+}
+
 // newDelta returns an empty delta for a change at a revision of the store.
 func (g *Gateway) newDelta(revision store.Revision) peer.UpstreamsDelta {
 	return peer.UpstreamsDelta{Revision: revision.Number, Previous: g.changedRevision.Number, Generation: revision.Generation}
