gateway: an upstream that says that it leaves gets no more requests

What callers saw: requests that reach a back end which had said that it leaves (DRAIN).

Cause: nodes knew a leave from the store only; an upstream says so in all its answers as well (Server-Leaving), earlier than the store or without ever reporting it there. Nothing read the header. Class: state that one source has announced and that nobody who could read it reads.

Change: any answer of the process that announces its leave, refusals and errors included, makes it draining at that node: placement, retries, resumed and moved streams look at the same state, and streams that run there are moved. The leave lasts as long as the process; neither the store's entry nor an overtaken answer takes it back. Statuses carry it to the peers for as long as the upstream is listed.

--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -95,9 +95,7 @@
 	// drainingSince holds when each draining upstream was first seen draining.
 	drainingSince map[string]time.Time
 
-	// leaving holds the processes of upstreams that have said in an answer that they
-	// leave.
-	leaving map[uint64]bool
+	leaves leaves
 
 	requests        map[uint64]*request
 	queues          map[string]*serviceQueue
@@ -143,7 +141,7 @@
 		table:         &route.Table{},
 		missing:       make(map[string]bool),
 		drainingSince: make(map[string]time.Time),
-		leaving:       make(map[uint64]bool),
+		leaves:        make(leaves),
 		requests:      make(map[uint64]*request),
 		queues:        make(map[string]*serviceQueue),
 		retryBudgets:  make(map[string]*retryBudget),
@@ -288,6 +286,7 @@
 	g.pruneAt = g.now.Add(pruneInterval)
 	g.upstreams.Expire(g.now)
 	g.quarantine.Prune(g.now)
+	g.pruneLeaves()
 }
 
 // Ready reports whether the node accepts new callers.
--- a/internal/core/gateway/leaving.go
+++ b/internal/core/gateway/leaving.go
@@ -1,10 +1,75 @@
 package gateway
 
+import (
+	"slices"
+	"time"
+
+	"monsoonlanding/internal/core/placement"
+)
+
+// leaveRetention is the time for which the announced leave of an upstream that is not
+// listed is retained: its entry may return.
+const leaveRetention = time.Minute
+
+// leaves holds the processes of upstreams that have said that they leave, to this node or to
+// a peer, with the time at which they were last listed.
+type leaves map[uint64]time.Time
+
 // recordLeaving records that the upstream of the current attempt says that it leaves.
 func (g *Gateway) recordLeaving(r *request, leaving bool) {
-	if !leaving || g.leaving[r.process] {
+	if leaving {
+		g.leaveAnnounced(r.process, g.cfg.Node)
+	}
+}
+
+// leaveAnnounced records that a process of an upstream has said to a node that it leaves.
+func (g *Gateway) leaveAnnounced(process uint64, to string) {
+	if _, known := g.leaves[process]; known {
 		return
 	}
-	g.leaving[r.process] = true
-	g.log("upstream", "upstream says that it leaves", "upstream", r.upstream)
+	g.leaves[process] = g.now
+	for _, u := range g.upstreams.All() {
+		if processID(u) != process {
+			continue
+		}
+		g.log("upstream", "upstream says that it leaves", "upstream", u.ID, "node", to, "state", string(u.State))
+		u = g.asLeaving(u)
+		g.upstreams.Put(u)
+		g.trackDraining(u)
+		g.evacuate(u)
+	}
+}
+
+// asLeaving returns the entry of an upstream, as draining if its process has said that it
+// leaves: the store may list it as ready for longer, or for good.
+func (g *Gateway) asLeaving(u placement.Upstream) placement.Upstream {
+	process := processID(u)
+	if _, announced := g.leaves[process]; announced {
+		g.leaves[process] = g.now
+		u.State = placement.StateDraining
+	}
+	return u
+}
+
+// announcedLeaves returns the listed processes that have said that they leave, for the
+// peers.
+func (g *Gateway) announcedLeaves() []uint64 {
+	var list []uint64
+	for _, u := range g.upstreams.All() {
+		process := processID(u)
+		if _, announced := g.leaves[process]; announced {
+			list = append(list, process)
+		}
+	}
+	return list
+}
+
+// pruneLeaves removes the leaves of upstreams that have not been listed for leaveRetention.
+func (g *Gateway) pruneLeaves() {
+	listed := g.announcedLeaves()
+	for process, at := range g.leaves {
+		if !slices.Contains(listed, process) && g.now.Sub(at) > leaveRetention {
+			delete(g.leaves, process)
+		}
+	}
 }
--- a/internal/core/gateway/platform.go
+++ b/internal/core/gateway/platform.go
@@ -140,6 +140,7 @@
 // putUpstream adds or replaces an upstream and records a change in the delta.
 func (g *Gateway) putUpstream(u placement.Upstream, revision store.Revision, delta *peer.UpstreamsDelta) {
 	delete(g.missing, u.ID)
+	u = g.asLeaving(u)
 	old, known := g.upstreams.Get(u.ID)
 	if !known || old.State != u.State || !old.StartedAt.Equal(u.StartedAt) || old.Address != u.Address {
 		g.log("upstream", "upstream listed", "upstream", u.ID, "service", u.Service, "zone", u.Zone,
--- a/internal/core/gateway/status.go
+++ b/internal/core/gateway/status.go
@@ -36,6 +36,7 @@
 		Quarantine:        g.quarantine.Report(g.now),
 		KnownNodes:        g.sampleMembers(),
 		Rollouts:          g.rolloutStatuses(),
+		Leaving:           g.announcedLeaves(),
 	}
 	if g.lease.Claims(g.now) {
 		s.LeaseToken = g.lease.FencingToken()
@@ -102,6 +103,9 @@
 	}
 	g.upstreams.SetPeerLoads(s.Node, upstreamLoads(s))
 	g.upstreams.MergeLimits(g.now, s.Limits)
+	for _, process := range s.Leaving {
+		g.leaveAnnounced(process, s.Node)
+	}
 	g.quarantine.Merge(g.now, s.Node, s.Quarantine)
 	g.judge()
 	g.usage.peerReported(s)
--- a/internal/core/peer/status.go
+++ b/internal/core/peer/status.go
@@ -50,6 +50,9 @@
 	StoreUnavailable bool `cbor:"17,keyasint,omitempty"`
 	// Rollouts is the sender's status of each open rollout.
 	Rollouts []RolloutStatus `cbor:"18,keyasint,omitempty"`
+	// Leaving holds the processes of upstreams that have said in an answer that they leave,
+	// as quarantine.ProcessID identifies them.
+	Leaving []uint64 `cbor:"22,keyasint,omitempty"`
 	// EngineLoad is the engine time that the sender's requests require, per service.
 	EngineLoad []ServiceEngineLoad `cbor:"16,keyasint,omitempty"`
 }
