gateway, leader, platform: what the store has lost in a restore is not believed lost or new

Cause: revisions are given out again after a restore. A node ignored changes at revisions below the one that it knew, and took the copy's entries, leases and verdicts for the present. Class: state that a source sets back, known by a number that the source gives out twice.

Change: a revision carries the store's generation and is never compared across generations. A rise reaches the reducer before the answer that names it, by any answer or any peer's status; all feeds are listed again, results of earlier generations are ignored. Then, by state: - entries: a process that drains is never ready again; those that are gone are remembered and told to peers that started since, until the store would have removed entries that nobody writes; missing ones are kept for 2.2 s and listed once more before they are forgotten; - lease: written with its generation; one of an earlier generation is waited out for a term, but by a holder that was within its own; tokens of a generation are above those before; writes across a restore are not sent, or unknown; - usage: the holder sends its report to the next holders before the platform gets it; - verdicts and quarantine: written again; configuration: never goes back on a node.

TestModelDetectsMissingGeneration plays nodes without the generation. Tests changed since they were committed failing: the heartbeat number of an entry is dropped, as entries change without a revision and copies can have a later one than a node; the entry of an upstream that had only lost its entry is used after five seconds instead. The model binds a node that has not seen a leave itself only while the store is stable, as the users' rules do.

--- a/internal/core/gateway/duties.go
+++ b/internal/core/gateway/duties.go
@@ -197,9 +197,24 @@
 		return
 	}
 	g.usage.sending = true
+	g.publishReport()
 	g.emit(ReportUsage{Report: report, Token: g.lease.FencingToken()})
 }
 
+// publishReport sends a status with the report to its readers before the platform gets it: if
+// the store loses the report and this node is gone, the next holder must not report the
+// window with other counts.
+func (g *Gateway) publishReport() {
+	readers := g.usageReaders()
+	var recipients []*member
+	for _, m := range g.sortedMembers() {
+		if g.inContact(m) && (readers == nil || readers[m.node]) {
+			recipients = append(recipients, m)
+		}
+	}
+	g.sendStatus(recipients)
+}
+
 func (g *Gateway) usageReported(e UsageReported) {
 	g.usage.sending = false
 	if !e.Accepted {
--- a/internal/core/gateway/effect.go
+++ b/internal/core/gateway/effect.go
@@ -127,9 +127,19 @@
 // RegisterNode writes the node's own entry, which is missing at the platform.
 type RegisterNode struct{}
 
-// ListUpstreams reads the whole list of upstreams, since this node has missed a
-// change that a peer knows of.
-type ListUpstreams struct{}
+// ListFeed reads a feed of the store whole, since this node may have missed a change or the
+// store has been restored.
+type ListFeed struct{ Feed FeedName }
+
+// FeedName names a part of the platform's store that nodes follow.
+type FeedName string
+
+// Feeds of the store.
+const (
+	FeedConfig    FeedName = "config"
+	FeedUpstreams FeedName = "upstreams"
+	FeedRollouts  FeedName = "rollouts"
+)
 
 // Count increments a counter by one.
 type Count struct {
@@ -204,7 +214,7 @@
 func (RegisterNode) effect()    {}
 func (ReadQuarantine) effect()  {}
 func (WriteQuarantine) effect() {}
-func (ListUpstreams) effect()   {}
+func (ListFeed) effect()        {}
 func (Count) effect()           {}
 func (Observe) effect()         {}
 func (Log) effect()             {}
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -81,7 +81,7 @@
 	// knownRevision is the revision of the store up to which the upstreams are
 	// known; changedRevision is that of the latest change among them.
 	knownRevision, changedRevision store.Revision
-	// storeGeneration is the latest generation of the store, named by its answers.
+	// storeGeneration is the latest generation of the store that this node or a peer knows.
 	storeGeneration int64
 	// behindSince is when a peer first reported a change after knownRevision.
 	behindSince time.Time
@@ -92,6 +92,14 @@
 	// missing holds the upstreams whose entries are temporarily missing from
 	// the store.
 	missing map[string]bool
+	// relisted is set once the upstreams have been listed again for the sake of those that
+	// are missing.
+	relisted bool
+	// Until restoredEntriesUntil the store's entries may be part of the copy from which it
+	// was restored in the generation heldGeneration.
+	departed             departures
+	restoredEntriesUntil time.Time
+	heldGeneration       int64
 	// drainingSince holds when each draining upstream was first seen draining.
 	drainingSince map[string]time.Time
 
@@ -140,6 +148,7 @@
 		rng:           rng,
 		table:         &route.Table{},
 		missing:       make(map[string]bool),
+		departed:      make(departures),
 		drainingSince: make(map[string]time.Time),
 		leaves:        make(leaves),
 		requests:      make(map[uint64]*request),
@@ -271,6 +280,7 @@
 const pruneInterval = 5 * time.Second
 
 func (g *Gateway) tick() {
+	g.relistAfterReturn()
 	g.removeMissing()
 	g.judge()
 	g.refuseOverdue()
@@ -287,6 +297,7 @@
 	g.upstreams.Expire(g.now)
 	g.quarantine.Prune(g.now)
 	g.pruneLeaves()
+	g.pruneDeparted()
 }
 
 // Ready reports whether the node accepts new callers.
--- a/internal/core/gateway/helper_test.go
+++ b/internal/core/gateway/helper_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -141,6 +142,11 @@
 	return false
 }
 
+// lists reports whether the effects include a list of the feed.
+func lists(feed FeedName, effects []Effect) bool {
+	return slices.Contains(effects, Effect(ListFeed{Feed: feed}))
+}
+
 // status returns a ready peer's status.
 func status(node string) peer.Status {
 	return peer.Status{Node: node, Start: 1, PeerAddress: node + ":2", CallerAddress: node + ":1", Ready: true, ConfigVersion: 1, Time: epoch}
--- a/internal/core/gateway/members.go
+++ b/internal/core/gateway/members.go
@@ -181,7 +181,7 @@
 func (g *Gateway) sendStatus(members []*member) {
 	status := g.status()
 	withoutUsage := status
-	withoutUsage.Usage = nil
+	withoutUsage.Usage, withoutUsage.Report = nil, nil
 	readers := g.usageReaders()
 	for _, m := range members {
 		m.sentAt = g.now.Add(-time.Duration(g.rng.Int64N(int64(g.interval() / statusJitterDivisor))))
--- a/internal/core/gateway/platform.go
+++ b/internal/core/gateway/platform.go
@@ -87,28 +87,33 @@
 // isOvertaken reports whether a read of the upstreams is older than what is known of them:
 // a peer may have sent a later change while the read was under way.
 func (g *Gateway) isOvertaken(read store.Revision) bool {
-	overtaken := g.upstreamsRead && read.Before(g.knownRevision)
+	overtaken := read.Generation < g.storeGeneration || g.upstreamsRead && read.Before(g.knownRevision)
 	if overtaken {
 		g.log("upstream", "read of upstreams was overtaken", "revision", read.Number, "own", g.knownRevision.Number)
 	}
 	return overtaken
 }
 
-// newDelta returns an empty delta for a change at a revision of the store.
+// newDelta returns an empty delta for a change at a revision of the store. The first one of
+// a generation follows none: peers that don't know its revision list the upstreams.
 func (g *Gateway) newDelta(revision store.Revision) peer.UpstreamsDelta {
-	return peer.UpstreamsDelta{Revision: revision.Number, Previous: g.changedRevision.Number, Generation: revision.Generation}
+	previous := revision.Number
+	if g.changedRevision.Generation == revision.Generation {
+		previous = g.changedRevision.Number
+	}
+	return peer.UpstreamsDelta{Revision: revision.Number, Previous: previous, Generation: revision.Generation}
 }
 
 // sendDelta sends changes read from the store to the peers, few of which watch
 // the store.
 func (g *Gateway) sendDelta(delta peer.UpstreamsDelta) {
-	g.knownRevision = laterRevision(g.knownRevision, delta.At())
+	g.knownRevision = store.Latest(g.knownRevision, delta.At())
 	if len(delta.Put) == 0 && len(delta.Removed) == 0 {
 		return
 	}
-	g.changedRevision = laterRevision(g.changedRevision, delta.At())
+	g.changedRevision = store.Latest(g.changedRevision, delta.At())
 	for _, m := range g.sortedMembers() {
-		if g.inContact(m) && m.status.UpstreamsRevision < delta.Revision {
+		if g.inContact(m) && m.status.UpstreamsAt().Before(delta.At()) {
 			g.emit(Send{Node: m.node, Address: m.address, Message: delta})
 		}
 	}
@@ -117,13 +122,14 @@
 // deltaReceived applies changes that a peer has read from the store. If this
 // node has missed an earlier change, the complete list is read instead.
 func (g *Gateway) deltaReceived(from string, d peer.UpstreamsDelta) {
-	if d.Revision <= g.knownRevision.Number || !g.upstreamsRead {
+	g.storeGenerationRead(d.Generation)
+	if d.At().Compare(g.knownRevision) <= 0 || !g.upstreamsRead {
 		return
 	}
-	if d.Previous > g.knownRevision.Number {
+	if d.Generation > g.knownRevision.Generation || d.Previous > g.knownRevision.Number {
 		g.log("upstream", "listing upstreams, an earlier change was missed", "peer", from, "revision", d.Revision,
 			"previous", d.Previous, "own", g.knownRevision.Number)
-		g.emit(ListUpstreams{})
+		g.emit(ListFeed{Feed: FeedUpstreams})
 		return
 	}
 	for _, u := range d.Put {
@@ -133,16 +139,30 @@
 		g.removeUpstream(id, &peer.UpstreamsDelta{})
 	}
 	g.knownRevision = d.At()
-	g.changedRevision = laterRevision(g.changedRevision, d.At())
+	g.changedRevision = store.Latest(g.changedRevision, d.At())
 	g.dispatchQueues()
 }
 
 // putUpstream adds or replaces an upstream and records a change in the delta.
 func (g *Gateway) putUpstream(u placement.Upstream, revision store.Revision, delta *peer.UpstreamsDelta) {
+	if g.isRestoredEntry(u) {
+		g.log("upstream", "entry is older than its upstream", "upstream", u.ID, "revision", revision.Number)
+		return
+	}
+	returned := g.missing[u.ID]
 	delete(g.missing, u.ID)
-	u = g.asLeaving(u)
+	delete(g.departed, processID(u))
 	old, known := g.upstreams.Get(u.ID)
-	if !known || old.State != u.State || !old.StartedAt.Equal(u.StartedAt) || old.Address != u.Address {
+	u = g.asLeaving(u)
+	if known && old.State == placement.StateDraining && old.StartedAt.Equal(u.StartedAt) {
+		// A process that drains is never ready again.
+		if u.State == placement.StateReady {
+			// Peers that have started since may take the restored entry for true.
+			g.leaves[processID(u)] = g.now
+		}
+		u.State, u.StopsAt = old.State, old.StopsAt
+	}
+	if !known || returned || old.State != u.State || !old.StartedAt.Equal(u.StartedAt) || old.Address != u.Address {
 		g.log("upstream", "upstream listed", "upstream", u.ID, "service", u.Service, "zone", u.Zone,
 			"state", string(u.State), "revision", revision.Number, "reclaimable", u.Reclaimable, "version", u.Version)
 		delta.Put = append(delta.Put, u)
@@ -172,6 +192,9 @@
 func (g *Gateway) deleteUpstream(id string) {
 	delete(g.missing, id)
 	delete(g.drainingSince, id)
+	if u, known := g.upstreams.Get(id); known {
+		g.departed[processID(u)] = g.now
+	}
 	g.upstreams.Remove(id)
 	g.log("upstream", "upstream gone", "upstream", id)
 }
@@ -187,25 +210,6 @@
 	}
 }
 
-// laterRevision returns the revision with the higher number.
-func laterRevision(a, b store.Revision) store.Revision {
-	if a.Number < b.Number {
-		return b
-	}
-	return a
-}
-
-// storeGenerationRead processes a later generation of the store.
-func (g *Gateway) storeGenerationRead(generation int64) {
-	if generation <= g.storeGeneration {
-		return
-	}
-	g.log("store", "generation of store changed", "generation", generation, "before", g.storeGeneration,
-		"revision", g.knownRevision.Number, "config", g.table.Version(), "lease_held", g.lease.Held(),
-		"token", g.lease.FencingToken())
-	g.storeGeneration = generation
-}
-
 func (g *Gateway) storeLost() {
 	if g.storeDown {
 		return
--- a/internal/core/gateway/quarantine_store.go
+++ b/internal/core/gateway/quarantine_store.go
@@ -14,6 +14,8 @@
 	// under way.
 	read, busy bool
 	retryAt    time.Time
+	// lost is set if the store may have lost what was written.
+	lost bool
 	// stored is the number of crashes of each stored part, as far as this node
 	// knows; writing is what the current call writes.
 	stored, writing map[quarantine.Trait]int
@@ -40,10 +42,10 @@
 		return
 	}
 	parts := g.quarantinedParts()
-	if maps.Equal(parts, s.stored) || !g.isFirstInContact("quarantine") {
+	if !s.lost && maps.Equal(parts, s.stored) || !g.isFirstInContact("quarantine") {
 		return
 	}
-	s.busy, s.writing = true, parts
+	s.busy, s.lost, s.writing = true, false, parts
 	var evidence []quarantine.Evidence
 	for _, e := range g.quarantine.Report(g.now).Evidence {
 		if _, stored := parts[e.Trait]; stored {
--- a/internal/core/gateway/rollouts.go
+++ b/internal/core/gateway/rollouts.go
@@ -30,6 +30,8 @@
 	stopped bool
 	// endedAt is when this node learned of the verdict.
 	endedAt time.Time
+	// lost is set if the store may have lost the verdict, which is then written again.
+	lost bool
 	// writing is set while the verdict is being written to the store.
 	writing bool
 	retryAt time.Time
@@ -46,17 +48,25 @@
 }
 
 func (g *Gateway) rolloutOrdered(order rollout.Order) {
+	if order.Revision.Generation < g.storeGeneration {
+		// Read before the store was restored.
+		return
+	}
 	r := g.rollouts[order.Service]
+	if r != nil && r.order.Target == order.Target && r.order.Revision.Generation < order.Revision.Generation {
+		g.rolloutRestored(r, order)
+		return
+	}
 	// An order for another version, or one that reopens an ended rollout, starts
 	// with new counts.
-	if r == nil || r.order.Target != order.Target || order.Open() && !r.order.Open() && order.Revision.Number > r.order.Revision.Number {
+	if r == nil || r.order.Target != order.Target || order.Open() && !r.order.Open() && r.order.Revision.Before(order.Revision) {
 		r = &rolloutState{orderedAt: g.now}
 		g.rollouts[order.Service] = r
 		g.scheduleBroadcast(0)
 		g.log("rollout", "rollout ordered", "service", order.Service, "version", order.Target,
 			"within_ms", order.TimeLimit.Milliseconds(), "state", string(order.State))
 	}
-	if order.Revision.Number < r.order.Revision.Number {
+	if order.Revision.Before(r.order.Revision) {
 		return
 	}
 	if r.order.Open() && !order.Open() {
@@ -66,9 +76,31 @@
 		g.log("rollout", "rollout state changed", "service", order.Service, "version", order.Target, "state", string(order.State))
 	}
 	r.order = order
+	r.lost = r.lost && order.Open()
+	r.stopped = r.stopped || order.State == rollout.StateReverted
+}
+
+// rolloutRestored processes the order of a rollout as the restored store has it, which may
+// lack the verdict.
+func (g *Gateway) rolloutRestored(r *rolloutState, order rollout.Order) {
+	if order.Open() && !r.order.Open() {
+		g.log("rollout", "verdict is lost in the store", "service", order.Service, "version", order.Target, "state", string(r.order.State))
+		order.State, r.lost = r.order.State, true
+	}
+	r.order = order
 	r.stopped = r.stopped || order.State == rollout.StateReverted
 }
 
+// rewriteVerdict writes a verdict again that the store has lost.
+func (g *Gateway) rewriteVerdict(r *rolloutState) {
+	known := r.order.Revision.Generation == g.storeGeneration
+	if !r.lost || !known || !g.lease.Held() || r.writing || g.now.Before(r.retryAt) {
+		return
+	}
+	r.writing = true
+	g.emit(WriteRollout{Order: r.order})
+}
+
 // chooseVersion restricts a query to the new version of a rollout or to the
 // others. Without a recent share from the lease holder nothing goes to the new
 // version.
@@ -94,6 +126,7 @@
 	for _, service := range g.rolloutServices() {
 		r := g.rollouts[service]
 		if !r.order.Open() {
+			g.rewriteVerdict(r)
 			continue
 		}
 		g.countOverdue(service)
@@ -147,7 +180,7 @@
 		g.scheduleBroadcast(0)
 	}
 	r.share, r.shareAt = decision.Share, g.now
-	if decision.Verdict == "" || r.writing || g.now.Before(r.retryAt) {
+	if decision.Verdict == "" || r.writing || g.now.Before(r.retryAt) || r.order.Revision.Generation != g.storeGeneration {
 		return
 	}
 	r.writing = true
@@ -174,6 +207,7 @@
 	r.writing = false
 	if !e.Done {
 		r.retryAt = g.now.Add(retryInterval)
+		g.emit(ListFeed{Feed: FeedRollouts})
 		return
 	}
 	g.rolloutOrdered(e.Order)
@@ -181,15 +215,17 @@
 
 // mergeRollout adds a rollout that is not known here and adopts the earliest
 // known time of its order. The store does not record that time.
-func (g *Gateway) mergeRollout(reported peer.RolloutStatus) {
+func (g *Gateway) mergeRollout(reported peer.RolloutStatus, generation int64) {
 	known := g.rollouts[reported.Service]
-	if known == nil || known.order.Revision.Number < reported.Revision {
+	revision := store.Revision{Generation: generation, Number: reported.Revision}
+	if known == nil || known.order.Revision.Before(revision) || reported.Verdict != "" && known.order.Open() {
 		g.rolloutOrdered(rollout.Order{
-			Service: reported.Service, Target: reported.Version, TimeLimit: reported.TimeLimit, Revision: store.Revision{Number: reported.Revision},
+			Service: reported.Service, Target: reported.Version, TimeLimit: reported.TimeLimit,
+			State: rollout.State(reported.Verdict), Revision: revision,
 		})
 	}
 	r := g.rollouts[reported.Service]
-	if r.order.Target != reported.Version || r.order.Revision.Number != reported.Revision {
+	if r == nil || r.order.Target != reported.Version || r.order.Revision != revision {
 		return
 	}
 	if orderedAt := g.now.Add(-reported.Elapsed); orderedAt.Before(r.orderedAt) {
@@ -203,7 +239,8 @@
 	var list []peer.RolloutStatus
 	for _, service := range g.rolloutServices() {
 		r := g.rollouts[service]
-		if !r.order.Open() {
+		known := r.order.Revision.Generation == g.storeGeneration
+		if !known || !r.order.Open() && !r.lost {
 			continue
 		}
 		s := peer.RolloutStatus{
@@ -211,7 +248,9 @@
 			TimeLimit: r.order.TimeLimit, Elapsed: g.now.Sub(r.orderedAt), Revision: r.order.Revision.Number,
 			New: answerCounts(r.newer), Old: answerCounts(r.older),
 		}
-		if g.lease.Held() {
+		if !r.order.Open() {
+			s.Verdict = string(r.order.State)
+		} else if g.lease.Held() {
 			s.Decides, s.Share = true, r.share
 		}
 		list = append(list, s)
@@ -227,7 +266,7 @@
 // the rollouts in the store.
 func (g *Gateway) mergeRollouts(s peer.Status) {
 	for _, reported := range s.Rollouts {
-		g.mergeRollout(reported)
+		g.mergeRollout(reported, s.StoreGeneration)
 		r := g.rollouts[reported.Service]
 		if r == nil || r.order.Target != reported.Version || !r.order.Open() {
 			continue
--- a/internal/core/gateway/status.go
+++ b/internal/core/gateway/status.go
@@ -3,8 +3,10 @@
 import (
 	"time"
 
+	"monsoonlanding/internal/core/leader"
 	"monsoonlanding/internal/core/peer"
 	"monsoonlanding/internal/core/placement"
+	"monsoonlanding/internal/core/store"
 )
 
 const (
@@ -29,7 +31,7 @@
 		PeerAddress:       g.cfg.PeerAddress,
 		Ready:             g.Ready(),
 		ConfigVersion:     g.table.Version(),
-		UpstreamsRevision: g.changedRevision.Number,
+		UpstreamsRevision: g.ownRevision(g.changedRevision),
 		StoreGeneration:   g.storeGeneration,
 		StoreUnavailable:  g.storeDown,
 		Time:              g.clusterTime(),
@@ -37,6 +39,8 @@
 		KnownNodes:        g.sampleMembers(),
 		Rollouts:          g.rolloutStatuses(),
 		Leaving:           g.announcedLeaves(),
+		Report:            usageReport(g.lease.LatestReport()),
+		Departed:          g.departedProcesses(),
 	}
 	if g.lease.Claims(g.now) {
 		s.LeaseToken = g.lease.FencingToken()
@@ -60,6 +64,15 @@
 	return s
 }
 
+// ownRevision returns the number of a revision, 0 if it is of an earlier generation than the
+// one that the status names.
+func (g *Gateway) ownRevision(r store.Revision) int64 {
+	if r.Generation != g.storeGeneration {
+		return 0
+	}
+	return r.Number
+}
+
 // sampleMembers returns a random sample of the nodes in contact.
 func (g *Gateway) sampleMembers() []peer.KnownNode {
 	var known []peer.KnownNode
@@ -72,6 +85,15 @@
 	return known[:min(len(known), statusKnownNodes)]
 }
 
+// usageReport returns the latest report for the peers: the next holder of the lease must know
+// of it also if the store has lost it.
+func usageReport(r *leader.Report) *peer.UsageReport {
+	if r == nil {
+		return nil
+	}
+	return &peer.UsageReport{Window: r.Window, Counts: r.Counts, Accepted: r.Accepted}
+}
+
 func (g *Gateway) peerReceived(e PeerReceived) {
 	switch m := e.Message.(type) {
 	case peer.Status:
@@ -91,6 +113,7 @@
 	if s.Start < m.status.Start {
 		return
 	}
+	g.storeGenerationRead(s.StoreGeneration)
 	wasReady := m.status.Ready
 	g.deductPeerSpending(m, s)
 	if m.status.StoreUnavailable && !s.StoreUnavailable {
@@ -103,12 +126,16 @@
 	}
 	g.upstreams.SetPeerLoads(s.Node, upstreamLoads(s))
 	g.upstreams.MergeLimits(g.now, s.Limits)
+	g.departuresReported(s.Departed)
 	for _, process := range s.Leaving {
 		g.leaveAnnounced(process, s.Node)
 	}
 	g.quarantine.Merge(g.now, s.Node, s.Quarantine)
 	g.judge()
 	g.usage.peerReported(s)
+	if s.Report != nil {
+		g.lease.NoteReport(leader.Report{Window: s.Report.Window, Counts: s.Report.Counts, Accepted: s.Report.Accepted})
+	}
 	g.mergeRollouts(s)
 	g.usage.setOffset(s.Node, s.Time.Sub(g.now))
 	for _, k := range s.KnownNodes {
@@ -157,7 +184,7 @@
 // relistIfBehind lists the upstreams again if the peer reports a change that
 // this node has not received from the store within syncGrace.
 func (g *Gateway) relistIfBehind(m *member) {
-	if m.status.UpstreamsRevision <= g.knownRevision.Number {
+	if m.status.UpstreamsAt().Compare(g.knownRevision) <= 0 {
 		return
 	}
 	// A behindSince that is older than this belongs to an earlier change.
@@ -171,7 +198,7 @@
 	g.behindSince = g.now
 	g.log("upstream", "listing upstreams, peer has a later revision", "peer", m.node,
 		"revision", m.status.UpstreamsRevision, "own", g.knownRevision.Number)
-	g.emit(ListUpstreams{})
+	g.emit(ListFeed{Feed: FeedUpstreams})
 }
 
 func (g *Gateway) configRequested(from string) {
--- a/internal/core/gateway/store_model_test.go
+++ b/internal/core/gateway/store_model_test.go
@@ -11,6 +11,7 @@
 
 var (
 	storeSeeds = flag.Uint64("store.seeds", 20, "number of seeds to play")
+	storeTrace = flag.Bool("store.trace", false, "print the nodes' log lines")
 	storeFirst = flag.Uint64("store.first", 1, "first seed to play")
 )
 
@@ -56,3 +57,17 @@
 		})
 	}
 }
+
+// TestModelDetectsMissingGeneration: nodes that are not told the store's generation compare
+// revisions across restores. The model must find what that breaks.
+func TestModelDetectsMissingGeneration(t *testing.T) {
+	found := 0
+	for seed := uint64(1); seed <= 20; seed++ {
+		w := newStoreWorld(seed)
+		w.hideGeneration = true
+		if len(w.play()) > 0 {
+			found++
+		}
+	}
+	qt.Assert(t, found > 0, qt.IsTrue, qt.Commentf("violations in %d of 20 seeds", found))
+}
--- a/internal/core/leader/lease.go
+++ b/internal/core/leader/lease.go
@@ -14,6 +14,9 @@
 	ProcessStart int64
 	// FencingToken increases with each new holder.
 	FencingToken int64
+	// Generation is the store's generation in which the lease was written. A lease of an
+	// earlier one is part of the copy from which the store was restored.
+	Generation int64
 	// Report is the latest usage report, nil before the first.
 	Report *Report
 }
@@ -66,6 +69,10 @@
 	callMargin = 500 * time.Millisecond
 	// retryInterval is the interval between two calls to a failing store.
 	retryInterval = 500 * time.Millisecond
+	// tokensPerGeneration is the number of fencing tokens of a generation of the store. The
+	// tokens of a generation are above those of earlier ones, of which the store may have
+	// lost the latest.
+	tokensPerGeneration = 1 << 20
 	// maxUnconfirmed bounds the time for which a holder with an unanswered write
 	// still claims the lease; a healthy store answers within milliseconds.
 	maxUnconfirmed = time.Second
@@ -82,6 +89,14 @@
 	latest      Stored
 	haveLatest  bool
 	firstReadAt time.Time
+	// report is the latest usage report that this process knows of. The store may have lost
+	// it.
+	report *Report
+	// generation is the latest generation of the store.
+	generation int64
+	// mayReclaim is set if the store was restored while this process held the lease: until a
+	// lease of the new generation is written, no other process can hold one.
+	mayReclaim bool
 
 	// held reports whether this process owns the latest known lease and is not
 	// releasing it. validUntil is the end of the term that began with the latest
@@ -151,7 +166,8 @@
 		return StoreCall{}, false
 	}
 	next := e.latest.Lease
-	next.Holder, next.ProcessStart, next.FencingToken = e.self, e.start, next.FencingToken+1
+	next.Holder, next.ProcessStart = e.self, e.start
+	next.FencingToken = max(next.FencingToken, e.generation*tokensPerGeneration) + 1
 	return e.write(now, next)
 }
 
@@ -163,18 +179,23 @@
 
 // available reports whether the lease may be taken over: it is released, it
 // belongs to an earlier process on this VM, or its term and the margin have
-// passed.
+// passed. What a lease of an earlier generation says may have changed since.
 func (e *Elector) available(now time.Time) bool {
 	l := e.latest.Lease
+	if l.Generation != e.generation {
+		return e.mayReclaim || now.Sub(e.firstReadAt) > e.term+takeoverMargin
+	}
 	if l.Holder == "" || l.Holder == e.self && l.ProcessStart != e.start {
 		return true
 	}
 	return now.Sub(e.firstReadAt) > e.term+takeoverMargin
 }
 
+// heldBySelf reports whether the latest known lease belongs to this process and is not
+// part of a copy.
 func (e *Elector) heldBySelf() bool {
 	l := e.latest.Lease
-	return l.Holder == e.self && l.ProcessStart == e.start
+	return l.Holder == e.self && l.ProcessStart == e.start && l.Generation == e.generation
 }
 
 func (e *Elector) read(now time.Time) (StoreCall, bool) {
@@ -184,6 +205,8 @@
 }
 
 func (e *Elector) write(now time.Time, next Lease) (StoreCall, bool) {
+	next.Generation = e.generation
+	next.Report = laterReport(next.Report, e.report)
 	e.pending = &next
 	e.pendingAt = now
 	e.retryAt = now.Add(retryInterval)
@@ -213,9 +236,49 @@
 	return e.write(now, next)
 }
 
+// HandleGeneration handles a rise of the store's generation. The lease may be lost: a
+// holder stops acting on it, and reads it before it writes a lease of the new generation.
+func (e *Elector) HandleGeneration(now time.Time, generation int64) {
+	if generation <= e.generation {
+		return
+	}
+	e.generation = generation
+	e.mayReclaim = e.held && now.Before(e.validUntil)
+	e.unconfirmed = e.held
+	e.held, e.haveLatest = false, false
+	e.retryAt = now
+}
+
+// LatestReport returns the latest usage report that this process knows of, nil if there is
+// none.
+func (e *Elector) LatestReport() *Report { return e.report }
+
+// NoteReport notes a usage report that another holder of the lease has written.
+func (e *Elector) NoteReport(r Report) {
+	e.report = laterReport(e.report, &r)
+	e.latest.Lease.Report = laterReport(e.latest.Lease.Report, e.report)
+}
+
+// laterReport returns the report of the later window, or of equal ones the one that is
+// accepted.
+func laterReport(a, b *Report) *Report {
+	switch {
+	case a == nil:
+		return b
+	case b == nil || b.Window < a.Window || b.Window == a.Window && !b.Accepted:
+		return a
+	default:
+		return b
+	}
+}
+
 // HandleRead handles the result of a read.
 func (e *Elector) HandleRead(now time.Time, result Result, stored Stored) {
 	e.reading = false
+	if result == ResultOK && stored.Revision.Generation < e.generation {
+		// The store was restored after this read.
+		return
+	}
 	switch result {
 	case ResultOK:
 		e.unconfirmed = false
@@ -229,6 +292,9 @@
 
 // setLatest replaces the latest known lease by the one in the store.
 func (e *Elector) setLatest(now time.Time, stored Stored) {
+	e.report = laterReport(stored.Lease.Report, e.report)
+	stored.Lease.Report = e.report
+	e.mayReclaim = e.mayReclaim && stored.Lease.Generation < e.generation
 	if !e.haveLatest || stored.Revision != e.latest.Revision {
 		e.firstReadAt = now
 	}
@@ -249,11 +315,14 @@
 	if pending == nil {
 		return
 	}
+	if stored.Revision.Generation < e.generation && (result == ResultOK || result == ResultConflict) {
+		// The store was restored after this write.
+		result = ResultUnknown
+	}
 	switch result {
 	case ResultOK:
-		e.latest, e.haveLatest, e.firstReadAt = stored, true, now
-		e.retryAt = now
-		e.held = e.heldBySelf()
+		e.setLatest(now, stored)
+		e.firstReadAt, e.retryAt = now, now
 		e.validUntil = e.pendingAt.Add(e.term)
 	case ResultConflict:
 		e.setLatest(now, stored)
@@ -274,5 +343,5 @@
 	}
 	done := *r
 	done.Accepted = true
-	e.latest.Lease.Report = &done
+	e.latest.Lease.Report, e.report = &done, &done
 }
--- a/internal/core/peer/status.go
+++ b/internal/core/peer/status.go
@@ -50,6 +50,11 @@
 	StoreUnavailable bool `cbor:"17,keyasint,omitempty"`
 	// Rollouts is the sender's status of each open rollout.
 	Rollouts []RolloutStatus `cbor:"18,keyasint,omitempty"`
+	// Departed holds the processes of upstreams that are gone, for some seconds after the
+	// store was restored.
+	Departed []uint64 `cbor:"24,keyasint,omitempty"`
+	// Report is the latest usage report that the sender knows to have been in the lease.
+	Report *UsageReport `cbor:"23,keyasint,omitempty"`
 	// Leaving holds the processes of upstreams that have said in an answer that they leave,
 	// as quarantine.ProcessID identifies them.
 	Leaving []uint64 `cbor:"22,keyasint,omitempty"`
@@ -57,6 +62,18 @@
 	EngineLoad []ServiceEngineLoad `cbor:"16,keyasint,omitempty"`
 }
 
+// UsageReport is a usage report that a lease holder has written into the lease.
+type UsageReport struct {
+	Window   int64            `cbor:"1,keyasint"`
+	Counts   map[string]int64 `cbor:"2,keyasint"`
+	Accepted bool             `cbor:"3,keyasint,omitempty"`
+}
+
+// UpstreamsAt returns the revision of the latest change to the sender's list of upstreams.
+func (s Status) UpstreamsAt() store.Revision {
+	return store.Revision{Generation: s.StoreGeneration, Number: s.UpstreamsRevision}
+}
+
 // RolloutStatus is a node's status of an open rollout.
 type RolloutStatus struct {
 	Service string `cbor:"1,keyasint"`
@@ -76,6 +93,8 @@
 	TimeLimit time.Duration `cbor:"10,keyasint"`
 	Elapsed   time.Duration `cbor:"11,keyasint"`
 	Revision  int64         `cbor:"12,keyasint"`
+	// Verdict is the rollout's verdict if the store may have lost it.
+	Verdict string `cbor:"13,keyasint,omitempty"`
 }
 
 // AnswerCounts counts the answers of a version by result.
--- a/internal/core/placement/upstream.go
+++ b/internal/core/placement/upstream.go
@@ -29,8 +29,6 @@
 	StartedAt time.Time `cbor:"9,keyasint"`
 	// StopsAt is when a draining upstream stops, zero if unknown.
 	StopsAt time.Time `cbor:"10,keyasint"`
-	// Heartbeat grows with each time that the process writes its entry, 0 if unknown.
-	Heartbeat int64 `cbor:"11,keyasint,omitempty"`
 }
 
 // Part is a part of a prompt that requests may share.
--- a/internal/run/gateway/execute.go
+++ b/internal/run/gateway/execute.go
@@ -51,8 +51,8 @@
 		r.group.Go(func() { r.orderFleet(e) })
 	case core.RemoveNode:
 		r.group.Go(func() { r.removeNode(e) })
-	case core.ListUpstreams:
-		r.relistMainFeed()
+	case core.ListFeed:
+		r.relist(e.Feed)
 	case core.RegisterNode:
 		r.group.Go(r.registerNode)
 	case core.ReadQuarantine:
--- a/internal/run/gateway/feed.go
+++ b/internal/run/gateway/feed.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -32,7 +33,7 @@
 		case errors.Is(err, errListDue):
 			revision = store.Revision{}
 		case errors.Is(err, ErrRelist):
-			r.log.Info().Str("step", "feed").Str("feed", f.Name).Int64("revision", revision.Number).Msg("change history lost, listing again")
+			r.log.Info().Str("step", "feed").Str("feed", string(f.Name)).Int64("revision", revision.Number).Msg("change history lost, listing again")
 			revision = store.Revision{}
 		case err != nil:
 			// Unlike a watch, a list returns as soon as the store is available
@@ -54,13 +55,15 @@
 // the node is assigned to watch; if not, it waits until the node's turn to list at
 // the latest. It returns errListDue when the feed must be listed again.
 func (r *Runner) nextChanges(f Feed, revision store.Revision) (Changes, error) {
+	requested := r.relists[f.Name]
 	if revision.IsZero() {
+		requested.clear()
 		return f.List(r.ctx)
 	}
 	ctx, cancel := context.WithCancelCause(r.ctx)
 	defer cancel(nil)
-	if f.Main {
-		r.cancelWatch.Store(&cancel)
+	if requested.interrupt(cancel) {
+		return Changes{}, errListDue
 	}
 	turn := r.turn()
 	if !turn.Watch {
@@ -89,11 +92,44 @@
 	return errListDue
 }
 
-// relistMainFeed ends the current watch of the main feed, or the wait instead of
-// it, so that the feed is listed again.
-func (r *Runner) relistMainFeed() {
-	if cancel := r.cancelWatch.Load(); cancel != nil {
-		(*cancel)(errListDue)
+// relist is a request to list a feed again. One that comes while the feed is being listed
+// is for another list: what is being read may be older than the cause of the request.
+type relist struct {
+	mu  sync.Mutex
+	due bool
+	// cancel ends the current watch of the feed, or the wait instead of it.
+	cancel context.CancelCauseFunc
+}
+
+func (q *relist) request() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.due = true
+	if q.cancel != nil {
+		q.cancel(errListDue)
+	}
+}
+
+// clear removes the request when a list begins.
+func (q *relist) clear() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.due, q.cancel = false, nil
+}
+
+// interrupt sets the function that a request calls. It reports whether there is a request
+// already.
+func (q *relist) interrupt(cancel context.CancelCauseFunc) (due bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.cancel = cancel
+	return q.due
+}
+
+// relist requests that a feed is listed again.
+func (r *Runner) relist(name core.FeedName) {
+	if q := r.relists[name]; q != nil {
+		q.request()
 	}
 }
 
@@ -125,7 +161,7 @@
 	}
 	text := strings.Join(texts, "; ")
 	if text != reported {
-		r.log.Warn().Str("step", "feed").Str("feed", f.Name).Strs("problems", texts).Msg("entries not decoded")
+		r.log.Warn().Str("step", "feed").Str("feed", string(f.Name)).Strs("problems", texts).Msg("entries not decoded")
 	}
 	return text
 }
@@ -134,7 +170,7 @@
 	if r.ctx.Err() != nil {
 		return
 	}
-	r.log.Warn().Str("step", "feed").Str("feed", f.Name).Err(err).Msg("call to store failed")
+	r.log.Warn().Str("step", "feed").Str("feed", string(f.Name)).Err(err).Msg("call to store failed")
 	if f.Main {
 		r.submit(core.StoreLost{})
 	}
--- a/internal/run/gateway/protocol.go
+++ b/internal/run/gateway/protocol.go
@@ -79,7 +79,7 @@
 
 // Feed is a part of the platform's store that a node follows.
 type Feed struct {
-	Name string
+	Name core.FeedName
 	// Main marks the feed whose failed calls report the store as lost, and whose
 	// successful calls report it as regained.
 	Main bool
--- a/internal/run/gateway/runner.go
+++ b/internal/run/gateway/runner.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -72,9 +71,8 @@
 	sampler  sampler
 	// drained is closed when a stopping node has no work left.
 	drained chan struct{}
-	// cancelWatch cancels the current watch of the main feed, or the wait of a
-	// node that is not assigned to watch.
-	cancelWatch atomic.Pointer[context.CancelCauseFunc]
+	// relists holds the pending requests to list the feeds, by the feed's name.
+	relists map[core.FeedName]*relist
 
 	upstreams *http1.Pool
 	peers     *peerws.Pool
@@ -104,8 +102,12 @@
 		log:       cfg.Log.With().Str("node", s.Name).Logger(),
 		handlers:  make(map[uint64]*handler),
 		drained:   make(chan struct{}),
+		relists:   make(map[core.FeedName]*relist),
 		upstreams: http1.New(http1.Config{Clock: cfg.Clock}),
 	}
+	for _, f := range cfg.Services.Feeds {
+		r.relists[f.Name] = &relist{}
+	}
 	r.core = core.New(core.Config{
 		Node:          s.Name,
 		Start:         start,
