gateway, peer: a configuration spreads in compressed parts, one request at a time

Cause: a node that knew of a newer version asked the next peer every 200 ms while answers were on their way; each peer sent the whole document, at once, to all that asked, over the connection of the status messages. Class: congestion by retries that don't look at progress.

Change: a node asks one peer for one part of the compressed document after the other, in its zone first, and goes on elsewhere only after half a second without a part. A node serves four others at once and refuses the rest at once. Whoever has a version announces it with a small message, to all peers if it read it from the store, else to its zone, in place of a status to all. A node that gets nothing for a second reads the store. What can't be read, or is larger than stated, is refused whole and logged once. Peers of older builds ask for and get the whole document, and a status.

Weighed: a connection of its own and a queue that status messages overtake; parts on request bound what a status waits for as well, and keep the decisions in the reducer.

--- a/internal/core/gateway/effect.go
+++ b/internal/core/gateway/effect.go
@@ -127,6 +127,21 @@
 // RegisterNode writes the node's own entry, which is missing at the platform.
 type RegisterNode struct{}
 
+// PackConfig compresses a configuration for the peers; answered by ConfigPacked.
+type PackConfig struct {
+	Version int64
+	Body    []byte
+}
+
+// UnpackConfig decodes a compressed configuration of a peer; answered by ConfigRead or
+// ConfigInvalid.
+type UnpackConfig struct {
+	Version int64
+	Packed  []byte
+	// Node is the peer.
+	Node string
+}
+
 // ListFeed reads a feed of the store whole, since this node may have missed a change or the
 // store has been restored.
 type ListFeed struct{ Feed FeedName }
@@ -214,6 +229,8 @@
 func (RegisterNode) effect()    {}
 func (ReadQuarantine) effect()  {}
 func (WriteQuarantine) effect() {}
+func (PackConfig) effect()      {}
+func (UnpackConfig) effect()    {}
 func (ListFeed) effect()        {}
 func (Count) effect()           {}
 func (Observe) effect()         {}
--- a/internal/core/gateway/event.go
+++ b/internal/core/gateway/event.go
@@ -199,10 +199,26 @@
 	Config route.Config
 	// Body is the encoded configuration as the platform stores it, for peers.
 	Body []byte
+	// Packed is the compressed body if it was received from a peer, else nil.
+	Packed []byte
 	// Source is where the configuration was read, for the log.
 	Source string
 }
 
+// ConfigPacked answers a PackConfig.
+type ConfigPacked struct {
+	Version int64
+	Packed  []byte
+}
+
+// ConfigInvalid answers an UnpackConfig of a configuration that can't be decoded.
+type ConfigInvalid struct {
+	Version int64
+	Node    string
+	Size    int
+	Problem string
+}
+
 // UpstreamsListed is the platform's complete list of upstreams at a revision of
 // the store.
 type UpstreamsListed struct {
@@ -310,6 +326,8 @@
 func (Expired) event()           {}
 func (HandlerEnded) event()      {}
 func (ConfigRead) event()        {}
+func (ConfigPacked) event()      {}
+func (ConfigInvalid) event()     {}
 func (UpstreamsListed) event()   {}
 func (UpstreamsChanged) event()  {}
 func (RolloutsChanged) event()   {}
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -112,14 +112,12 @@
 	quarantineStore quarantineStore
 	goals           goals
 
-	members map[string]*member
-	// configFetchAt is the earliest time of the next request for a
-	// configuration.
-	configFetchAt time.Time
-	quotas        map[string]*teamQuota
-	lease         *leader.Elector
-	usage         usage
-	planners      map[string]*fleet.Planner
+	members  map[string]*member
+	spread   configSpread
+	quotas   map[string]*teamQuota
+	lease    *leader.Elector
+	usage    usage
+	planners map[string]*fleet.Planner
 	// rollouts holds the rollouts by service.
 	rollouts map[string]*rolloutState
 	// paces holds the usual times of answers, by route.
@@ -149,6 +147,7 @@
 		table:         &route.Table{},
 		missing:       make(map[string]bool),
 		departed:      make(departures),
+		spread:        configSpread{receivers: make(map[string]time.Time)},
 		drainingSince: make(map[string]time.Time),
 		leaves:        make(leaves),
 		requests:      make(map[uint64]*request),
@@ -219,6 +218,10 @@
 	switch e := e.(type) {
 	case ConfigRead:
 		g.configRead(e)
+	case ConfigPacked:
+		g.configPacked(e)
+	case ConfigInvalid:
+		g.configInvalid(e)
 	case UpstreamsListed:
 		g.upstreamsListed(e)
 	case UpstreamsChanged:
@@ -287,6 +290,7 @@
 	g.dispatchQueues()
 	g.checkRollouts()
 	g.sendDueStatuses()
+	g.fetchConfig()
 	g.performDuties()
 	g.syncQuarantine()
 	g.checkDrained()
--- a/internal/core/gateway/members.go
+++ b/internal/core/gateway/members.go
@@ -40,6 +40,10 @@
 	// storeRegainedAt is when the node first reported that it reaches the store
 	// again.
 	storeRegainedAt time.Time
+	// announcedConfig is the version of the configuration that the node has announced last;
+	// it is not asked for its configuration before configPausedUntil.
+	announcedConfig   int64
+	configPausedUntil time.Time
 	// addedAt is when the node became known here.
 	addedAt time.Time
 }
--- a/internal/core/gateway/platform.go
+++ b/internal/core/gateway/platform.go
@@ -18,6 +18,9 @@
 const storeReturnSpread = 3 * time.Second
 
 func (g *Gateway) configRead(e ConfigRead) {
+	if g.spread.decoding == e.Config.Version {
+		g.spread.decoding = 0
+	}
 	if e.Config.Version <= g.table.Version() {
 		return
 	}
@@ -25,12 +28,16 @@
 		"bytes", len(e.Body))
 	g.table = route.New(e.Config)
 	g.configBody = e.Body
+	g.spread.packed, g.spread.announceToAll = nil, e.Packed == nil
+	if e.Packed == nil {
+		g.emit(PackConfig{Version: e.Config.Version, Body: e.Body})
+	} else {
+		g.setPacked(e.Packed)
+	}
 	g.pruneQuotas()
 	for _, q := range g.queues {
 		g.requeue(q)
 	}
-	g.scheduleBroadcast(0)
-	g.sendDueStatuses()
 }
 
 // pruneQuotas removes the quotas of teams that are no longer configured.
--- a/internal/core/gateway/status.go
+++ b/internal/core/gateway/status.go
@@ -17,9 +17,6 @@
 	// syncGrace is the maximum time for a change that a peer reports to arrive
 	// here from the store.
 	syncGrace = 300 * time.Millisecond
-	// configFetchInterval is the minimum interval between two requests for a
-	// configuration.
-	configFetchInterval = 200 * time.Millisecond
 )
 
 func (g *Gateway) status() peer.Status {
@@ -41,6 +38,7 @@
 		Leaving:           g.announcedLeaves(),
 		Report:            usageReport(g.lease.LatestReport()),
 		Departed:          g.departedProcesses(),
+		TakesParts:        true,
 	}
 	if g.lease.Claims(g.now) {
 		s.LeaseToken = g.lease.FencingToken()
@@ -100,8 +98,14 @@
 		g.statusReceived(m)
 	case peer.UpstreamsDelta:
 		g.deltaReceived(e.From, m)
+	case peer.ConfigNotice:
+		g.configAnnounced(e.From, m)
 	case peer.ConfigRequest:
-		g.configRequested(e.From)
+		g.configRequested(e.From, m)
+	case peer.ConfigPart:
+		g.configPart(e.From, m)
+	case peer.ConfigBusy:
+		g.configBusy(e.From)
 	}
 }
 
@@ -143,7 +147,7 @@
 			g.addMember(k.Node, k.PeerAddress)
 		}
 	}
-	g.requestConfig(m)
+	g.fetchConfig()
 	g.relistIfBehind(m)
 }
 
@@ -171,16 +175,6 @@
 	return loads
 }
 
-// requestConfig requests a peer's configuration if it is newer.
-func (g *Gateway) requestConfig(m *member) {
-	if m.status.ConfigVersion <= g.table.Version() || g.now.Before(g.configFetchAt) {
-		return
-	}
-	g.configFetchAt = g.now.Add(configFetchInterval)
-	g.log("config", "requesting configuration from peer", "peer", m.node, "version", m.status.ConfigVersion, "own", g.table.Version())
-	g.emit(Send{Node: m.node, Address: m.address, Message: peer.ConfigRequest{}})
-}
-
 // relistIfBehind lists the upstreams again if the peer reports a change that
 // this node has not received from the store within syncGrace.
 func (g *Gateway) relistIfBehind(m *member) {
@@ -200,11 +194,3 @@
 		"revision", m.status.UpstreamsRevision, "own", g.knownRevision.Number)
 	g.emit(ListFeed{Feed: FeedUpstreams})
 }
-
-func (g *Gateway) configRequested(from string) {
-	m := g.members[from]
-	if m == nil || g.table.Version() == 0 {
-		return
-	}
-	g.emit(Send{Node: m.node, Address: m.address, Message: peer.ConfigUpdate{Version: g.table.Version(), Body: g.configBody}})
-}
--- a/internal/core/gateway/store_world_test.go
+++ b/internal/core/gateway/store_world_test.go
@@ -215,6 +215,12 @@
 		w.send(n, e)
 	case ListFeed:
 		n.nextRead = w.now
+	case PackConfig:
+		w.after(time.Millisecond, func() { w.reduce(n, g, ConfigPacked{Version: e.Version, Packed: e.Body}) })
+	case UnpackConfig:
+		w.after(time.Millisecond, func() {
+			w.reduce(n, g, ConfigRead{Config: testConfig(e.Version), Body: e.Packed, Packed: e.Packed, Source: e.Node})
+		})
 	case ReadLease:
 		w.call(n, g, func() Event { return w.readLease() }, LeaseRead{Result: leader.ResultUnknown})
 	case WriteLease:
--- a/internal/core/peer/status.go
+++ b/internal/core/peer/status.go
@@ -50,6 +50,8 @@
 	StoreUnavailable bool `cbor:"17,keyasint,omitempty"`
 	// Rollouts is the sender's status of each open rollout.
 	Rollouts []RolloutStatus `cbor:"18,keyasint,omitempty"`
+	// TakesParts is set if the sender knows ConfigNotice, ConfigPart and ConfigBusy.
+	TakesParts bool `cbor:"25,keyasint,omitempty"`
 	// Departed holds the processes of upstreams that are gone, for some seconds after the
 	// store was restored.
 	Departed []uint64 `cbor:"24,keyasint,omitempty"`
@@ -157,8 +159,34 @@
 	return store.Revision{Generation: d.Generation, Number: d.Revision}
 }
 
-// ConfigRequest requests a peer's configuration.
-type ConfigRequest struct{}
+// ConfigNotice announces that the sender has a version of the configuration.
+type ConfigNotice struct {
+	Version int64 `cbor:"1,keyasint"`
+}
+
+// ConfigRequest requests a part of a peer's compressed configuration, answered by a
+// ConfigPart or by ConfigBusy. Without a version it requests the whole configuration, answered
+// by a ConfigUpdate.
+type ConfigRequest struct {
+	Version int64 `cbor:"1,keyasint,omitempty"`
+	// Digest identifies the bytes of which the receiver has those before Offset.
+	Digest uint64 `cbor:"2,keyasint,omitempty"`
+	Offset int    `cbor:"3,keyasint,omitempty"`
+}
+
+// ConfigPart carries a part of a compressed configuration of Size bytes. The sender may have
+// a later version than the one requested, or other bytes; the part is then the first one.
+type ConfigPart struct {
+	Version int64  `cbor:"1,keyasint"`
+	Digest  uint64 `cbor:"2,keyasint"`
+	Size    int    `cbor:"3,keyasint"`
+	Offset  int    `cbor:"4,keyasint"`
+	Data    []byte `cbor:"5,keyasint"`
+}
+
+// ConfigBusy refuses a ConfigRequest, because the sender serves other nodes or does not have
+// the version.
+type ConfigBusy struct{}
 
 // ConfigUpdate carries a configuration in the form that the platform stores.
 type ConfigUpdate struct {
@@ -168,5 +196,8 @@
 
 func (Status) peerMessage()         {}
 func (UpstreamsDelta) peerMessage() {}
+func (ConfigNotice) peerMessage()   {}
 func (ConfigRequest) peerMessage()  {}
+func (ConfigPart) peerMessage()     {}
+func (ConfigBusy) peerMessage()     {}
 func (ConfigUpdate) peerMessage()   {}
--- a/internal/tool/emulator/spread_world_test.go
+++ b/internal/tool/emulator/spread_world_test.go
@@ -1,9 +1,12 @@
 package emulator
 
 import (
+	"bytes"
+	"compress/gzip"
 	"container/heap"
 	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"time"
 
@@ -203,6 +206,18 @@
 		switch effect := effect.(type) {
 		case gateway.Send:
 			w.send(n, effect)
+		case gateway.PackConfig:
+			// Virtual time does not pass while the body is compressed, so it is added.
+			w.after(packTime(len(effect.Body)), func() {
+				w.reduce(n, g, gateway.ConfigPacked{Version: effect.Version, Packed: pack(effect.Body)})
+			})
+		case gateway.UnpackConfig:
+			body := unpack(effect.Packed)
+			w.after(packTime(len(body)), func() {
+				w.reduce(n, g, gateway.ConfigRead{
+					Config: spreadConfig(effect.Version), Body: body, Packed: effect.Packed, Source: effect.Node,
+				})
+			})
 		case gateway.Log:
 			if effect.Message == "configuration in force" {
 				n.inForce[g.State().ConfigVersion] = w.now
@@ -211,6 +226,33 @@
 	}
 }
 
+// packTime is the time in which a small VM compresses or decodes a number of bytes.
+func packTime(size int) time.Duration { return time.Duration(size) * 100 * time.Nanosecond }
+
+func pack(body []byte) []byte {
+	var packed bytes.Buffer
+	w := gzip.NewWriter(&packed)
+	if _, err := w.Write(body); err != nil {
+		panic(err)
+	}
+	if err := w.Close(); err != nil {
+		panic(err)
+	}
+	return packed.Bytes()
+}
+
+func unpack(packed []byte) []byte {
+	r, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		panic(err)
+	}
+	body, err := io.ReadAll(r)
+	if err != nil {
+		panic(err)
+	}
+	return body
+}
+
 func (w *spreadWorld) send(from *spreadNode, e gateway.Send) {
 	var index int
 	if _, err := fmt.Sscanf(e.Address, "node-%d", &index); err != nil {
--- a/internal/wire/peerws/codec.go
+++ b/internal/wire/peerws/codec.go
@@ -47,6 +47,9 @@
 	peer.ConfigRequest{},
 	peer.ConfigUpdate{},
 	peer.UpstreamsDelta{},
+	peer.ConfigNotice{},
+	peer.ConfigPart{},
+	peer.ConfigBusy{},
 }
 
 // Codec encodes and decodes messages, each with a CBOR tag for its type.
