gateway: a status that was overtaken by a later one is ignored

What callers could see: after a partition, a node that stops is named to callers again for an interval, an old share of a new version or an old claim of the lease counts again.

Cause: bytes that a partition holds up on one connection arrive after later statuses on another. Nothing ordered the statuses of a process. Class: state that is set back by a source that is late.

Change: statuses are numbered; an earlier one of the same process is ignored. Older builds number none.

Evidence: TestOvertakenStatusIsIgnored failed before.

--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -126,6 +126,8 @@
 	work map[string]*workMeter
 
 	started time.Time
+	// statusSeq is the sequence number of the latest status.
+	statusSeq uint64
 	// broadcastAt is when a status to all peers is due, zero if none is
 	// scheduled.
 	broadcastAt    time.Time
--- a/internal/core/gateway/members_test.go
+++ b/internal/core/gateway/members_test.go
@@ -10,6 +10,31 @@
 	"monsoonlanding/internal/core/peer"
 )
 
+// TestOvertakenStatusIsIgnored: bytes that a partition has held up on an old connection
+// arrive after statuses on a new one. An older status set back what the peer had reported.
+func TestOvertakenStatusIsIgnored(t *testing.T) {
+	a, b := newBench(t, "a"), newBench(t, "b")
+	for _, n := range []*bench{a, b} {
+		n.ready(up("d1", "desk"))
+	}
+	a.receive(status("b"))
+	var sent []peer.Status
+	for range 2 {
+		for _, e := range a.wait(time.Second) {
+			send, _ := e.(Send)
+			if s, ok := send.Message.(peer.Status); ok {
+				sent = append(sent, s)
+			}
+		}
+		a.receive(status("b"))
+		a.reduce(Stop{})
+	}
+	b.receive(sent[len(sent)-1])
+	b.Assert(b.g.CallerAddresses(64), qt.DeepEquals, []string{"b:1"})
+	b.receive(sent[0])
+	b.Assert(b.g.CallerAddresses(64), qt.DeepEquals, []string{"b:1"})
+}
+
 // TestStatusesAreSpread: a node among 64 sends at most a third of its statuses
 // in one tick, because all of them at once occupy a small VM's link for a long
 // time, and each peer still receives one in time.
--- a/internal/core/gateway/status.go
+++ b/internal/core/gateway/status.go
@@ -23,6 +23,7 @@
 	s := peer.Status{
 		Node:              g.cfg.Node,
 		Start:             g.cfg.Start,
+		Seq:               g.nextStatusSeq(),
 		Zone:              g.cfg.Zone,
 		CallerAddress:     g.cfg.CallerAddress,
 		PeerAddress:       g.cfg.PeerAddress,
@@ -62,6 +63,12 @@
 	return s
 }
 
+// nextStatusSeq returns the sequence number of the next status.
+func (g *Gateway) nextStatusSeq() uint64 {
+	g.statusSeq++
+	return g.statusSeq
+}
+
 // ownRevision returns the number of a revision, 0 if it is of an earlier generation than the
 // one that the status names.
 func (g *Gateway) ownRevision(r store.Revision) int64 {
@@ -114,7 +121,8 @@
 		return
 	}
 	m := g.addMember(s.Node, s.PeerAddress)
-	if s.Start < m.status.Start {
+	if s.Start < m.status.Start || s.Start == m.status.Start && s.Seq > 0 && s.Seq <= m.status.Seq {
+		// A later one has overtaken it on another connection.
 		return
 	}
 	g.storeGenerationRead(s.StoreGeneration)
--- a/internal/core/peer/status.go
+++ b/internal/core/peer/status.go
@@ -15,7 +15,9 @@
 	// the VM.
 	Node  string `cbor:"1,keyasint"`
 	Start int64  `cbor:"2,keyasint"`
-	Zone  string `cbor:"3,keyasint"`
+	// Seq grows with each status of a process, 0 if the sender numbers none.
+	Seq  uint64 `cbor:"26,keyasint,omitempty"`
+	Zone string `cbor:"3,keyasint"`
 	// CallerAddress and PeerAddress are IP:port.
 	CallerAddress string `cbor:"4,keyasint"`
 	PeerAddress   string `cbor:"5,keyasint"`
