gateway, wire/http1: the log tells whether new connections to upstreams can be opened

The logs could not tell a node that has lost its paths from upstreams that fail: a failed connect, a connection that lives on and one that was opened just now looked alike. No decision reads it yet.

Evidence: go test of the packages passed; TestDialedExchangesAreTold.

--- a/internal/core/gateway/attempt.go
+++ b/internal/core/gateway/attempt.go
@@ -17,6 +17,7 @@
 	g.recordLife(r)
 	g.recordLimit(r, e.RateLimit)
 	g.recordLeaving(r, e.Leaving)
+	g.recordConnect(r, e.Connect)
 	g.upstreams.RecordPrefillDone(g.now, r.upstream, r.conn)
 	if r.move == nil && !r.continuesRun {
 		g.countStart(r)
@@ -57,6 +58,7 @@
 	if e.Framing != "" {
 		g.count(CountAnswer, string(e.Framing))
 	}
+	g.recordConnect(r, e.Connect)
 	g.logEnd(r, e)
 	if r.move == nil {
 		g.countEnd(r, e.Result)
@@ -92,7 +94,7 @@
 	inputs := []any{
 		"upstream", r.upstream, "attempt", r.attempt,
 		"age_ms", g.now.Sub(r.arrived).Milliseconds(), "detail", e.Detail,
-		"framing", string(e.Framing), "partial", e.PartialBytes,
+		"framing", string(e.Framing), "partial", e.PartialBytes, "connect", string(e.Connect),
 	}
 	if e.Result == ResultBroken {
 		inputs = append(inputs, "began", r.began, "parts", r.req.Prompt.PartIDs(),
--- a/internal/core/gateway/event.go
+++ b/internal/core/gateway/event.go
@@ -51,6 +51,8 @@
 	RateLimit placement.RateLimit
 	// Leaving is set if the upstream says in its answer that it leaves.
 	Leaving bool
+	// Connect is what became of the attempt's connection.
+	Connect Connect
 }
 
 // Paced reports the pace of a stream, measured at its first PaceEvents events, or
@@ -79,12 +81,27 @@
 	RateLimit placement.RateLimit
 	// Leaving is set if the upstream says in its answer that it leaves.
 	Leaving bool
+	// Connect is what became of the attempt's connection.
+	Connect Connect
 	// Framing is the framing of the upstream's answer, empty without an answer.
 	Framing Framing
 	// PartialBytes is the size of the incomplete event with which a stream ended.
 	PartialBytes int
 }
 
+// Connect is what became of the connection of an attempt.
+type Connect string
+
+// Connects.
+const (
+	// ConnectReused: the connection had been open before.
+	ConnectReused Connect = "reused"
+	// ConnectOpened: the connection was opened for the attempt.
+	ConnectOpened Connect = "opened"
+	// ConnectFailed: no connection could be opened.
+	ConnectFailed Connect = "failed"
+)
+
 // Framing is how an upstream's answer marks its end.
 type Framing string
 
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -104,6 +104,7 @@
 	drainingSince map[string]time.Time
 
 	leaves leaves
+	paths  paths
 
 	requests        map[uint64]*request
 	queues          map[string]*serviceQueue
@@ -152,6 +153,7 @@
 		spread:        configSpread{receivers: make(map[string]time.Time)},
 		drainingSince: make(map[string]time.Time),
 		leaves:        make(leaves),
+		paths:         paths{failed: make(map[string]bool)},
 		requests:      make(map[uint64]*request),
 		queues:        make(map[string]*serviceQueue),
 		retryBudgets:  make(map[string]*retryBudget),
--- a/internal/run/gateway/attempt.go
+++ b/internal/run/gateway/attempt.go
@@ -64,11 +64,15 @@
 		return failedAttempt(err)
 	}
 	defer answer.Close()
+	h.connect = core.ConnectReused
+	if answer.Dialed() {
+		h.connect = core.ConnectOpened
+	}
 	head := h.runner.cfg.Protocol.ClassifyHead(h.request.ID, answer.Status(), answer.Header())
 	h.rateLimit, h.leaving = head.RateLimit, head.Leaving
 	ended := core.Ended{
 		Result: head.Result, Detail: head.Detail, Load: head.Load, RateLimit: head.RateLimit, Leaving: head.Leaving,
-		Framing: core.Framing(answer.Framing()),
+		Connect: h.connect, Framing: core.Framing(answer.Framing()),
 	}
 	switch {
 	case head.Result == core.ResultErrored:
@@ -112,7 +116,11 @@
 	case !http1.Written(err):
 		result = core.ResultUnreachable
 	}
-	return core.Ended{Result: result, Detail: err.Error()}
+	ended := core.Ended{Result: result, Detail: err.Error()}
+	if http1.ConnectFailed(err) {
+		ended.Connect = core.ConnectFailed
+	}
+	return ended
 }
 
 // errCallerWrite is the cause of an attempt that ends because a write to the
--- a/internal/run/gateway/handler.go
+++ b/internal/run/gateway/handler.go
@@ -44,6 +44,8 @@
 	rateLimit placement.RateLimit
 	// leaving is set if the upstream says in the current answer that it leaves.
 	leaving bool
+	// connect is what became of the connection of the current attempt.
+	connect core.Connect
 	// answer is the answer last read by bufferAnswer, nil before the first.
 	answer *bufferedAnswer
 }
--- a/internal/wire/http1/answer.go
+++ b/internal/wire/http1/answer.go
@@ -24,8 +24,10 @@
 
 // Answer is an upstream's answer. Its head has been read, its body has not.
 type Answer struct {
-	pool     *Pool
-	conn     *conn
+	pool *Pool
+	conn *conn
+	// dialed is set if the connection was opened for this exchange.
+	dialed   bool
 	method   string
 	response *http.Response
 	// writeResult receives the result of writing a request with a large body.
@@ -44,6 +46,9 @@
 // Status returns the status code.
 func (a *Answer) Status() int { return a.response.StatusCode }
 
+// Dialed reports whether the connection was opened for this exchange.
+func (a *Answer) Dialed() bool { return a.dialed }
+
 // Header returns the headers.
 func (a *Answer) Header() http.Header { return a.response.Header }
 
--- a/internal/wire/http1/pool.go
+++ b/internal/wire/http1/pool.go
@@ -95,11 +95,11 @@
 // Do sends the request and returns the answer as soon as its head has been read.
 // The caller must close the answer. Errors are of type *Error.
 func (p *Pool) Do(ctx context.Context, address string, r *Request) (*Answer, error) {
-	c, err := p.get(ctx, address)
+	c, dialed, err := p.get(ctx, address)
 	if err != nil {
-		return nil, &Error{Step: "connect", Peer: address, Err: err}
+		return nil, &Error{Step: stepConnect, Peer: address, Err: err}
 	}
-	a := &Answer{pool: p, conn: c, method: r.Method, maxIdle: r.MaxIdle}
+	a := &Answer{pool: p, conn: c, dialed: dialed, method: r.Method, maxIdle: r.MaxIdle}
 	// A deadline in the past interrupts pending reads and writes.
 	a.stop = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	if err := a.exchange(r); err != nil {
@@ -109,15 +109,16 @@
 	return a, nil
 }
 
-// get returns a usable idle connection, or a new one.
-func (p *Pool) get(ctx context.Context, address string) (*conn, error) {
+// get returns a usable idle connection, or a new one; dialed is set for that.
+func (p *Pool) get(ctx context.Context, address string) (c *conn, dialed bool, err error) {
 	for {
-		c := p.popIdle(address)
+		c = p.popIdle(address)
 		if c == nil {
-			return p.dial(ctx, address)
+			c, err = p.dial(ctx, address)
+			return c, true, err
 		}
 		if p.cfg.Clock.Now().Before(c.expires) && isUsable(c.Conn) {
-			return c, nil
+			return c, false, nil
 		}
 		_ = c.Close()
 	}
--- a/internal/wire/http1/pool_test.go
+++ b/internal/wire/http1/pool_test.go
@@ -156,6 +156,27 @@
 	_ = l.Close()
 	_, err = get(c, newPool(), address)
 	c.Assert(Written(err), qt.IsFalse)
+	c.Assert(ConnectFailed(err), qt.IsTrue)
+}
+
+// TestDialedExchangesAreTold: only an exchange on a new connection shows that new ones can be
+// opened, and a broken one does not show that they can't.
+func TestDialedExchangesAreTold(t *testing.T) {
+	c := qt.New(t)
+	server := newServer(c, answerWith(func(*http.Request) string { return okAnswer }))
+	p := newPool()
+	for _, dialed := range []bool{true, false, false} {
+		a, err := p.Do(context.Background(), server.address, &Request{Method: "GET", Target: "/x", Host: "h", Header: http.Header{}})
+		c.Assert(err, qt.IsNil)
+		c.Assert(a.Dialed(), qt.Equals, dialed)
+		_, err = io.ReadAll(a)
+		c.Assert(err, qt.IsNil)
+		a.Close()
+	}
+	broken := newServer(c, func(net.Conn, *bufio.Reader) {})
+	_, err := get(c, p, broken.address)
+	c.Assert(err, qt.IsNotNil)
+	c.Assert(ConnectFailed(err), qt.IsFalse)
 }
 
 func TestBrokenExchangeIsWritten(t *testing.T) {
--- a/internal/wire/http1/request.go
+++ b/internal/wire/http1/request.go
@@ -72,6 +72,15 @@
 	return !errors.As(err, &e) || e.Written
 }
 
+// stepConnect is the step of an Error of an exchange without a connection.
+const stepConnect = "connect"
+
+// ConnectFailed reports whether err shows that no connection could be opened.
+func ConnectFailed(err error) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Step == stepConnect
+}
+
 // Malformed reports whether err shows that the bytes that arrived are no answer.
 func Malformed(err error) bool {
 	var e *Error
