emulator: failing test of nodes that lose their paths to all upstreams

The emulator partitions nodes from all upstreams while callers and the other nodes reach them: connections hang, are reset, or live on while new ones fail; one node to all but one, a zone, little traffic, a burst, thirty nodes. The check is the users': first attempts served two thirds as often as at the others, from 3 s after the begin.

--- a/internal/tool/emulator/caller.go
+++ b/internal/tool/emulator/caller.go
@@ -61,6 +61,9 @@
 		Prompt: s.prompt(k), Fingerprint: s.rng.Uint64(),
 	}
 	s.callers = append(s.callers, c)
+	if t := s.firstTries(c); t != nil {
+		t.Sent++
+	}
 	tallyOf(s.report.Kinds, k.Route).Callers++
 	s.report.Kinds[k.Route].Value = k.Value
 	tallyOf(s.report.Teams, c.team).Callers++
@@ -130,16 +133,22 @@
 // dispatch runs a request on the upstream that its node has chosen.
 func (s *simulation) dispatch(node int, d gateway.Dispatch) {
 	c := s.pending[d.Conn]
-	c.attempt = d.Attempt
+	c.attempt, c.began, c.silenced = d.Attempt, false, false
 	u := s.byID[d.Upstream.ID]
+	connect, reaches := s.connect(node, d, c)
+	if !reaches {
+		return
+	}
 	s.oracle.arrived(s.now, u.Service, d.Attempt)
 	s.oracle.limit.arrived(s.now, node, u.ID)
 	switch {
 	case u.crashed:
-		s.after(messageLatency, func() { s.attemptEnded(d.Conn, c, gateway.Ended{Result: gateway.ResultUnreachable}) })
+		s.after(messageLatency, func() {
+			s.attemptEnded(d.Conn, c, gateway.Ended{Result: gateway.ResultUnreachable, Connect: gateway.ConnectFailed})
+		})
 		return
 	case u.full(), s.rng.Float64() < s.pattern.RefusedFraction:
-		s.after(2*messageLatency, func() { s.attemptEnded(d.Conn, c, gateway.Ended{Result: gateway.ResultFull}) })
+		s.after(2*messageLatency, func() { s.attemptEnded(d.Conn, c, gateway.Ended{Result: gateway.ResultFull, Connect: connect}) })
 		return
 	}
 	c.runsOn = u
@@ -150,7 +159,7 @@
 	}
 	begin, end, prefilled := u.accept(s.now.Add(messageLatency), c.request.Prompt)
 	s.countPrefill(u, c.request.Prompt, prefilled)
-	current := func() bool { return s.pending[d.Conn] == c && c.runsOn == u && !u.crashed }
+	current := func() bool { return s.pending[d.Conn] == c && c.runsOn == u && !u.crashed && !c.silenced }
 	if s.pattern.CrashingPart.crashes(s.now.Sub(startTime), c.request.Prompt) {
 		s.oracle.crashing.arrived(s.now)
 		s.at(begin, func() {
@@ -170,8 +179,9 @@
 	}
 	s.at(begin.Add(messageLatency), func() {
 		if current() {
+			c.began = true
 			s.answerBegan(c)
-			s.reduce(node, gateway.Began{Conn: d.Conn, Attempt: d.Attempt, RateLimit: s.nameLimit(node, u)})
+			s.reduce(node, gateway.Began{Conn: d.Conn, Attempt: d.Attempt, RateLimit: s.nameLimit(node, u), Connect: connect})
 		}
 	})
 	if paced := begin.Add(paceTime); paced.Before(end) && u.cached != nil {
@@ -183,7 +193,7 @@
 	}
 	s.at(end.Add(messageLatency), func() {
 		if current() {
-			s.attemptEnded(d.Conn, c, gateway.Ended{Result: result, Framing: gateway.FramingChunks})
+			s.attemptEnded(d.Conn, c, gateway.Ended{Result: result, Framing: gateway.FramingChunks, Connect: connect})
 		}
 	})
 }
@@ -209,6 +219,9 @@
 	}
 	s.oracle.crashing.began(c)
 	c.done = true
+	if t := s.firstTries(c); t != nil && c.retries == 0 {
+		t.Served++
+	}
 	latency := s.now.Sub(c.firstSubmitted)
 	for _, t := range []*Tally{s.report.Kinds[c.kind.Route], s.report.Teams[c.team], s.secondTally(c)} {
 		if latency <= c.kind.LatencyGoal {
--- a/internal/tool/emulator/pattern.go
+++ b/internal/tool/emulator/pattern.go
@@ -60,6 +60,8 @@
 	ResetFraction float64
 	// CrashingPart is a prompt part that crashes engines; nil for none.
 	CrashingPart *CrashingPart
+	// UpstreamCut partitions nodes from all upstreams; nil for never.
+	UpstreamCut *UpstreamCut
 	// Limits are the limits that upstreams name; nil for none.
 	Limits *UpstreamLimits
 	// RestartAt is when all nodes restart without state; zero is never.
--- a/internal/tool/emulator/report.go
+++ b/internal/tool/emulator/report.go
@@ -20,6 +20,8 @@
 	// Prefilled counts the prompt tokens that engines prefilled, Recomputed
 	// those of shared parts that this engine or another had prefilled before.
 	Prefilled, Recomputed int
+	// Cut is about the callers during the pattern's UpstreamCut.
+	Cut CutReport
 	// Violations lists the guarantees that were violated.
 	Violations []string
 	// Seconds counts callers by the second of their arrival.
--- a/internal/tool/emulator/run.go
+++ b/internal/tool/emulator/run.go
@@ -80,6 +80,8 @@
 	// pending holds callers by the connection of their current submission.
 	pending  map[uint64]*caller
 	lastConn uint64
+	// used holds when a node has last used a connection to an upstream.
+	used map[nodeUpstream]time.Time
 	// storedQuarantine is what the store has of quarantined parts.
 	storedQuarantine gateway.QuarantineRead
 	// revision is the latest revision of the list of upstreams.
@@ -108,6 +110,9 @@
 	// attempt is the node's number of the current dispatch, runsOn its upstream.
 	attempt int
 	runsOn  *upstream
+	// began is set once the answer to the current attempt has begun, silenced if the
+	// upstream's bytes no longer reach the node.
+	began, silenced bool
 	// done is set once the caller is counted under an outcome.
 	done bool
 }
@@ -139,6 +144,7 @@
 		byID:             make(map[string]*upstream),
 		pending:          make(map[uint64]*caller),
 		prefilledParts:   make(map[string]bool),
+		used:             make(map[nodeUpstream]time.Time),
 		storedQuarantine: gateway.QuarantineRead{Done: true},
 		report: &Report{
 			Kinds: make(map[string]*Tally), Teams: make(map[string]*Tally),
@@ -191,6 +197,7 @@
 	if s.pattern.CrashedEngines > 0 {
 		s.at(startTime.Add(s.pattern.CrashAt), s.crashEngines)
 	}
+	s.scheduleCut()
 }
 
 func (s *simulation) crashEngines() {
@@ -220,6 +227,18 @@
 	}
 }
 
+// runningConns returns the connections of callers whose attempts run at upstreams.
+func (s *simulation) runningConns() []uint64 {
+	var list []uint64
+	for conn, c := range s.pending {
+		if c.runsOn != nil {
+			list = append(list, conn)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
 // pendingConns returns the connections of callers whose answer has not begun,
 // in the order of their submission.
 func (s *simulation) pendingConns() []uint64 {
