--- a/internal/core/gateway/paths.go
+++ b/internal/core/gateway/paths.go
@@ -105,6 +105,10 @@
 	f, known := p.failed[upstream]
 	f.at = g.now
 	p.failed[upstream] = f
+	if !known && len(p.failed) == suspectAfter {
+		g.log("paths", "connections to upstreams fail in a row", "since_ms", g.now.Sub(p.failingSince).Milliseconds(),
+			"listed", len(g.upstreams.All()))
+	}
 	if !known && len(p.failed) >= suspectAfter {
 		// Peers tell whether they reach the upstream.
 		g.scheduleBroadcast(suspectDelay)
