placement, gateway: the slots of brittle upstreams are divided among the nodes

Cause: the bound is one over all nodes, and nothing read the header. Each node admits what fits beside the load that it knows of, which is an interval old. Class: a bound that nobody counts for all nodes, as with the limits that upstreams name.

Change: while an upstream says so, each node runs no more there than its part of the slots, in a rendezvous order, so that no upstream is offered more than it runs, whatever nodes know of each other. The value is shared as limits are; a process that has not answered counts as the others of its service, since upstreams that fell start again so. A node without a part passes requests on to one that has, as it now does for limits, too, where it refused at once before.

Counting rejections against the named number: not needed, parts never add up to more than the slots.

TestNodeWithoutShare asks Usable in place of UsableCount, for the same upstreams.

--- a/internal/core/gateway/attempt.go
+++ b/internal/core/gateway/attempt.go
@@ -20,6 +20,7 @@
 	r.began, r.beganAt = true, g.now
 	g.recordLife(r)
 	g.recordLimit(r, e.RateLimit)
+	g.recordBrittle(r, e.Brittle)
 	g.recordLeaving(r, e.Leaving)
 	g.recordConnect(r, e.Connect)
 	g.upstreams.RecordPrefillDone(g.now, r.upstream, r.conn)
@@ -74,6 +75,7 @@
 	g.recordEnd(r, e)
 	if e.Framing != "" && !r.began {
 		g.recordLimit(r, e.RateLimit)
+		g.recordBrittle(r, e.Brittle)
 	}
 	if e.Framing != "" && !r.began && e.Result != ResultMisdirected {
 		g.recordLeaving(r, e.Leaving)
--- a/internal/core/gateway/event.go
+++ b/internal/core/gateway/event.go
@@ -51,6 +51,8 @@
 	Attempt int
 	// RateLimit is the limit that the upstream names in its answer.
 	RateLimit placement.RateLimit
+	// Brittle is the number of rejections a second that the upstream says it bears.
+	Brittle placement.RateLimit
 	// Leaving is set if the upstream says in its answer that it leaves.
 	Leaving bool
 	// Connect is what became of the attempt's connection.
@@ -81,6 +83,8 @@
 	Load *Load
 	// RateLimit is the limit that the upstream names in its answer.
 	RateLimit placement.RateLimit
+	// Brittle is the number of rejections a second that the upstream says it bears.
+	Brittle placement.RateLimit
 	// Leaving is set if the upstream says in its answer that it leaves.
 	Leaving bool
 	// Connect is what became of the attempt's connection.
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -171,7 +171,7 @@
 		paces:         make(map[string]*routePace),
 		work:          make(map[string]*workMeter),
 	}
-	g.upstreams = placement.New(cfg.Node, cfg.Zone, cfg.Cost, g.limitShare, rng)
+	g.upstreams = placement.New(cfg.Node, cfg.Zone, cfg.Cost, placement.Shares{Limit: g.limitShare, Slots: g.slotPart}, rng)
 	return g
 }
 
--- a/internal/core/gateway/limit.go
+++ b/internal/core/gateway/limit.go
@@ -1,6 +1,11 @@
 package gateway
 
-import "monsoonlanding/internal/core/placement"
+import (
+	"cmp"
+	"slices"
+
+	"monsoonlanding/internal/core/placement"
+)
 
 // limitShare returns this node's part of the limit that an upstream has named to
 // all nodes. The first nodes of a rendezvous order use it, one more than the limit
@@ -11,7 +16,7 @@
 	if g.stopping || g.paths.lost {
 		return 0
 	}
-	before, others := g.orderInContact(upstream, func(m *member) bool { return m.status.Ready && !m.status.PathsLost })
+	before, others := g.orderInContact(upstream, sharesUpstreams)
 	senders := min(others+1, 1+int(perSecond))
 	if before >= senders {
 		return 0
@@ -20,6 +25,57 @@
 	return perSecond * inContact / float64(senders)
 }
 
+// slotPart returns this node's part of the slots of a brittle upstream: the slots of the nodes in
+// contact are divided evenly among those of them that use their shares, in a rendezvous order.
+// Nodes that are not in contact may use their own parts.
+func (g *Gateway) slotPart(upstream string, slots int) int {
+	if g.stopping || g.paths.lost {
+		return 0
+	}
+	before, others := g.orderInContact(upstream, sharesUpstreams)
+	ours, nodes := g.slotsInContact(slots), others+1
+	part := ours / nodes
+	if before < ours%nodes {
+		part++
+	}
+	return part
+}
+
+// slotsInContact returns the number of an upstream's slots that belong to the nodes in contact.
+func (g *Gateway) slotsInContact(slots int) int {
+	return slots * g.contactCount(silentIntervals) / (len(g.members) + 1)
+}
+
+// sharesUpstreams reports whether a member uses its shares of upstreams.
+func sharesUpstreams(m *member) bool { return m.status.Ready && !m.status.PathsLost }
+
+// sharers returns the nodes in contact that have a share of an upstream.
+func (g *Gateway) sharers(u placement.Shared) []string {
+	count := len(g.members) + 1
+	if u.Limit.Named {
+		count = min(count, 1+int(u.Limit.PerSecond))
+	}
+	if u.Slots > 0 {
+		count = min(count, g.slotsInContact(u.Slots))
+	}
+	var nodes []string
+	for _, m := range g.members {
+		if g.inContact(m) && sharesUpstreams(m) {
+			nodes = append(nodes, m.node)
+		}
+	}
+	slices.SortFunc(nodes, func(a, b string) int { return cmp.Compare(rankForTask(u.ID, b), rankForTask(u.ID, a)) })
+	return nodes[:min(count, len(nodes))]
+}
+
+// slots returns the number of slots of a service's engines, 0 for a plain service.
+func (g *Gateway) slots(service string) int {
+	if s, ok := g.table.Service(service); ok && s.Engine != nil {
+		return s.Engine.Slots
+	}
+	return 0
+}
+
 // recordLimit records the limit that the upstream of the current attempt names.
 func (g *Gateway) recordLimit(r *request, limit placement.RateLimit) {
 	if g.upstreams.RecordLimit(g.now, r.dispatchedAt, r.upstream, limit) {
--- a/internal/core/gateway/members.go
+++ b/internal/core/gateway/members.go
@@ -77,20 +77,23 @@
 // and how many of them come before this node in the rendezvous order of a task. All
 // nodes that are in contact with each other agree on that order.
 func (g *Gateway) orderInContact(task string, selected func(*member) bool) (before, others int) {
-	rank := func(node string) uint64 { return xxhash.Sum64String(task + "/" + node) }
-	own := rank(g.cfg.Node)
+	own := rankForTask(task, g.cfg.Node)
 	for _, m := range g.members {
 		if !g.inContact(m) || !selected(m) {
 			continue
 		}
 		others++
-		if rank(m.node) > own {
+		if rankForTask(task, m.node) > own {
 			before++
 		}
 	}
 	return before, others
 }
 
+// rankForTask returns the rank of a node in the rendezvous order of a task; the highest is
+// first.
+func rankForTask(task, node string) uint64 { return xxhash.Sum64String(task + "/" + node) }
+
 // isFirstInContact reports whether this node is the first of those in contact for a
 // task.
 func (g *Gateway) isFirstInContact(task string) bool {
--- a/internal/core/gateway/queue.go
+++ b/internal/core/gateway/queue.go
@@ -62,9 +62,11 @@
 		g.refuse(r, ReasonNoUpstream, g.retryAfter(time.Second))
 		return
 	}
-	if !r.answerSent && g.upstreams.UsableCount(g.now, r.service) == 0 {
-		// The limits of all upstreams are used by other nodes.
-		g.refuse(r, ReasonOverload, g.retryAfter(minRetryAfter))
+	if ready, usable := g.upstreams.Usable(g.now, r.service, g.slots(r.service)); len(usable) == 0 && !r.answerSent {
+		// Other nodes use the limits, or the slots of brittle upstreams.
+		if !g.passOnToSharer(r, ready) {
+			g.refuse(r, ReasonOverload, g.retryAfter(minRetryAfter))
+		}
 		return
 	}
 	q := g.queue(r.service)
--- a/internal/core/gateway/relay.go
+++ b/internal/core/gateway/relay.go
@@ -3,10 +3,12 @@
 import (
 	"slices"
 	"time"
+
+	"monsoonlanding/internal/core/placement"
 )
 
-// A node that has lost its paths to the upstreams passes its callers' requests on to a node
-// that has paths. The first node keeps what belongs to the caller: quota, usage, deadline and
+// A node that has lost its paths to the upstreams, or has no share of what they take, passes its
+// callers' requests on to a node that has. The first node keeps what belongs to the caller: quota, usage, deadline and
 // the answer's connection. The second one keeps what belongs to the upstreams: placement,
 // their limits and health, retries and evidence.
 
@@ -41,11 +43,28 @@
 // passOn sends the request to a node that has paths to the upstreams, if this node has none
 // and there is one.
 func (g *Gateway) passOn(r *request) bool {
-	if !g.paths.lost || r.relayed != nil {
+	if !g.paths.lost {
 		return false
 	}
-	m := g.relayTarget(r)
-	if m == nil {
+	return g.passOnTo(r, g.relayTarget(r, g.mayRelayTo))
+}
+
+// passOnToSharer sends the request to a node that has a share of an upstream, if all upstreams
+// are shared out and this node has none.
+func (g *Gateway) passOnToSharer(r *request, shared []placement.Shared) bool {
+	sharers := make(map[string]bool)
+	for _, u := range shared {
+		for _, node := range g.sharers(u) {
+			sharers[node] = true
+		}
+	}
+	return g.passOnTo(r, g.relayTarget(r, func(m *member) bool { return sharers[m.node] && g.mayRelayTo(m) }))
+}
+
+// passOnTo sends the request to another node, if there is one and the request does not come
+// from another node itself.
+func (g *Gateway) passOnTo(r *request, m *member) bool {
+	if m == nil || r.relayed != nil {
 		return false
 	}
 	r.phase, r.relay, r.upstream = phaseRunning, m.node, ""
@@ -63,14 +82,15 @@
 		Relay:     Relay{Node: m.node, Address: m.address, Attempts: max(attempts, 1)},
 		Streaming: r.isStreaming(), Resumable: r.route.Resumable,
 	})
-	g.logRequest(r, "place", "passed on to a node with paths to the upstreams", "peer", m.node, "attempt", r.attempt,
+	g.logRequest(r, "place", "passed on to another node", "peer", m.node, "attempt", r.attempt,
 		"waited_ms", g.now.Sub(r.arrived).Milliseconds(), "config", g.table.Version())
 	return true
 }
 
-// relayTarget returns the peer to pass the request on to, nil if there is none: the one that
-// this node has passed the fewest requests on to at the moment, in its zone if possible.
-func (g *Gateway) relayTarget(r *request) *member {
+// relayTarget returns the peer to pass the request on to among those selected, nil if there is
+// none: the one that this node has passed the fewest requests on to at the moment, in its zone
+// if possible.
+func (g *Gateway) relayTarget(r *request, selected func(*member) bool) *member {
 	if r.relayTries >= maxRelayTries {
 		return nil
 	}
@@ -87,7 +107,7 @@
 	list := g.sortedMembers()
 	g.rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	for _, m := range list {
-		if g.mayRelayTo(m) && !slices.Contains(r.relaysTried, m.node) && better(m) {
+		if selected(m) && !slices.Contains(r.relaysTried, m.node) && better(m) {
 			best = m
 		}
 	}
@@ -158,7 +178,7 @@
 		g.abort(r, ReasonFailed)
 		return
 	}
-	if g.now.Before(r.deadline) && g.relayTarget(r) != nil {
+	if g.now.Before(r.deadline) && g.now.Before(r.refuseAt) && g.relayTarget(r, g.mayRelayTo) != nil {
 		g.retry(r)
 		return
 	}
--- a/internal/core/gateway/status.go
+++ b/internal/core/gateway/status.go
@@ -53,6 +53,7 @@
 		s.Load = append(s.Load, peer.UpstreamLoad{Upstream: id, Running: p.Running, Prefill: p.Prefill, Memory: p.Memory})
 	}
 	s.Limits = g.upstreams.OwnLimits(g.now)
+	s.Brittle = g.upstreams.OwnBrittle(g.now)
 	for name, q := range g.quotas {
 		s.QuotaSpent = append(s.QuotaSpent, peer.TeamQuotaSpent{Team: name, Units: q.spent})
 	}
@@ -143,6 +144,7 @@
 	}
 	g.upstreams.SetPeerLoads(s.Node, upstreamLoads(s))
 	g.upstreams.MergeLimits(g.now, s.Limits)
+	g.upstreams.MergeBrittle(g.now, s.Brittle)
 	g.departuresReported(s.Departed)
 	for _, process := range s.Leaving {
 		g.leaveAnnounced(process, s.Node)
--- a/internal/core/peer/status.go
+++ b/internal/core/peer/status.go
@@ -40,6 +40,8 @@
 	KnownNodes []KnownNode `cbor:"13,keyasint"`
 	// Limits holds the limits that upstreams have named to the sender.
 	Limits []placement.ObservedLimit `cbor:"20,keyasint,omitempty"`
+	// Brittle holds the rejections a second that upstreams have said to the sender they bear.
+	Brittle []placement.ObservedLimit `cbor:"32,keyasint,omitempty"`
 	// Quarantine is what the sender knows of requests that may crash upstreams.
 	Quarantine quarantine.Report `cbor:"19,keyasint"`
 	// UpstreamsRevision is the store's revision of the latest change to the
--- a/internal/core/placement/doc.go
+++ b/internal/core/placement/doc.go
@@ -19,7 +19,9 @@
 // # Limits
 //
 // An upstream may name a limit of requests a second from all nodes together. A node
-// sends it no more than its own share, by whatever way the request goes.
+// sends it no more than its own share, by whatever way the request goes. A brittle upstream,
+// which falls over if it must turn too many requests away, gets no more from each node than the
+// node's part of its slots.
 //
 // # Speed
 //
@@ -28,7 +30,7 @@
 //
 // # Usage
 //
-//	s := placement.New("node-a", "zone-1", placement.LeastTime, share, rng)
+//	s := placement.New("node-a", "zone-1", placement.LeastTime, shares, rng)
 //	s.Put(u)
 //	u, ok := s.Pick(now, placement.Query{Service: "plans", Prompt: prompt})
 //	s.RecordStart(now, u.ID, 7, prompt)
--- a/internal/core/placement/limit.go
+++ b/internal/core/placement/limit.go
@@ -23,9 +23,15 @@
 	PerSecond float64 `cbor:"2,keyasint"`
 }
 
-// LimitShare returns the part, in requests a second, that this node may use of an
-// upstream's limit. The parts of all nodes add up to perSecond at most.
-type LimitShare func(upstream string, perSecond float64) float64
+// Shares tells this node's parts of what upstreams take from all nodes together.
+type Shares struct {
+	// Limit returns the part, in requests a second, of an upstream's limit. The parts of
+	// all nodes add up to perSecond at most.
+	Limit func(upstream string, perSecond float64) float64
+	// Slots returns the part of a brittle upstream's slots. The parts of all nodes add up to
+	// slots at most.
+	Slots func(upstream string, slots int) int
+}
 
 // ObservedLimit is a limit that an upstream has named to a node, or that it no
 // longer names one.
@@ -37,12 +43,7 @@
 
 // limiter keeps this node's requests to an upstream to its share of the limit.
 type limiter struct {
-	// limit is the limit observed last by any node, at observedAt.
-	limit      RateLimit
-	observedAt time.Time
-	// own is the limit observed last by this node, at ownAt.
-	own   RateLimit
-	ownAt time.Time
+	observed
 	// tokens is the number of requests that this node may send, as of refilledAt.
 	tokens     float64
 	refilledAt time.Time
@@ -61,9 +62,9 @@
 }
 
 // refill adds the tokens of the time since the last call.
-func (l *limiter) refill(now time.Time, upstream string, share LimitShare) {
+func (l *limiter) refill(now time.Time, upstream string, shares Shares) {
 	if now.Sub(l.sharedAt) >= shareRefresh {
-		l.share, l.sharedAt = share(upstream, max(l.limit.PerSecond, minLimit)), now
+		l.share, l.sharedAt = shares.Limit(upstream, max(l.limit.PerSecond, minLimit)), now
 	}
 	l.tokens = min(l.tokens+l.share*now.Sub(l.refilledAt).Seconds(), limitBurst)
 	l.refilledAt = now
@@ -79,14 +80,14 @@
 	if !m.limiter.limit.Named {
 		return true
 	}
-	m.limiter.refill(now, m.ID, s.share)
+	m.limiter.refill(now, m.ID, s.shares)
 	return m.limiter.tokens >= 1
 }
 
 // spend counts a number of requests that this node sends to an upstream.
 func (s *Set) spend(now time.Time, m *member, requests float64) {
 	if m.limiter.limit.Named {
-		m.limiter.refill(now, m.ID, s.share)
+		m.limiter.refill(now, m.ID, s.shares)
 		m.limiter.tokens -= requests
 	}
 }
@@ -106,23 +107,36 @@
 	}
 }
 
-// UsableCount returns the number of upstreams of a service that accept new requests
-// and whose limits leave this node a share.
-func (s *Set) UsableCount(now time.Time, service string) int {
-	n := 0
-	for _, m := range s.members {
+// Usable returns the upstreams of a service that accept new requests, in order of ID, with
+// those among them that leave this node a share of their limit or, if they are brittle, of
+// their slots. slots is the number of an engine's slots, 0 for plain services.
+func (s *Set) Usable(now time.Time, service string, slots int) (ready, usable []Shared) {
+	for _, m := range s.sorted {
 		if m.Service != service || m.State != StateReady {
 			continue
 		}
+		shared := Shared{ID: m.ID, Limit: m.limiter.limit}
+		if s.rejections(m).Named {
+			shared.Slots = m.slots(Query{Slots: slots})
+		}
+		ready = append(ready, shared)
 		if m.limiter.limit.Named {
-			m.limiter.refill(now, m.ID, s.share)
-			if m.limiter.share == 0 {
-				continue
-			}
+			m.limiter.refill(now, m.ID, s.shares)
+		}
+		hasShare := !m.limiter.limit.Named || m.limiter.share > 0
+		if hasShare && (shared.Slots == 0 || s.partOfSlots(now, m, shared.Slots) > 0) {
+			usable = append(usable, shared)
 		}
-		n++
 	}
-	return n
+	return ready, usable
+}
+
+// Shared is an upstream of which nodes may use a share each.
+type Shared struct {
+	ID string
+	// Limit is the limit that it names, Slots the number of its slots if it is brittle, else 0.
+	Limit RateLimit
+	Slots int
 }
 
 // RecordLimit records the limit that an upstream names in its answer to an attempt,
@@ -135,11 +149,10 @@
 		return false
 	}
 	l := &m.limiter
-	if !limit.Named && (!l.limit.Named || !dispatched.After(l.observedAt)) {
+	if !l.record(now, dispatched, limit) {
 		return false
 	}
 	changed = l.limit != limit
-	l.own, l.ownAt = limit, now
 	l.observe(now, now, limit)
 	return changed
 }
@@ -148,11 +161,9 @@
 func (s *Set) OwnLimits(now time.Time) []ObservedLimit {
 	var list []ObservedLimit
 	for _, m := range s.sorted {
-		l := m.limiter
-		if l.ownAt.IsZero() || !l.own.Named && now.Sub(l.ownAt) > liftRetention {
-			continue
+		if o, ok := m.limiter.report(now, m.ID); ok {
+			list = append(list, o)
 		}
-		list = append(list, ObservedLimit{Upstream: m.ID, Limit: l.own, Age: now.Sub(l.ownAt)})
 	}
 	return list
 }
@@ -164,7 +175,7 @@
 		if m == nil {
 			continue
 		}
-		if at := now.Add(-o.Age); at.After(m.limiter.observedAt) {
+		if at, counts := m.limiter.merge(now, o); counts {
 			m.limiter.observe(now, at, o.Limit)
 		}
 	}
--- a/internal/core/placement/limit_test.go
+++ b/internal/core/placement/limit_test.go
@@ -53,10 +53,12 @@
 	c := qt.New(t)
 	s := newSet("a", 1)
 	share := 0.0
-	s.share = func(string, float64) float64 { return share }
+	s.shares.Limit = func(string, float64) float64 { return share }
 	s.RecordLimit(epoch, epoch, "u0", twoPerSecond)
 	c.Assert(sendAll(s, epoch, 5*time.Second), qt.Equals, 0)
-	c.Assert(s.UsableCount(epoch, "s"), qt.Equals, 0)
+	ready, usable := s.Usable(epoch, "s", 0)
+	c.Assert(ready, qt.HasLen, 1)
+	c.Assert(usable, qt.HasLen, 0)
 	c.Assert(s.Count("s"), qt.Equals, 1)
 	share = 1
 	sent := sendAll(s, epoch.Add(5*time.Second), 4*time.Second)
--- a/internal/core/placement/pick.go
+++ b/internal/core/placement/pick.go
@@ -51,7 +51,7 @@
 			continue
 		}
 		load := m.loadAt(now)
-		if !m.hasCapacity(load, q) {
+		if !m.hasCapacity(load, q) || !s.hasRoom(now, m, m.slots(q)) {
 			continue
 		}
 		candidate := s.candidate(now, m, load, q, preferred, speed)
@@ -109,6 +109,14 @@
 	return ejected || !now.Before(m.ejected) && !now.Before(m.full)
 }
 
+// slots returns the number of requests that the upstream runs at once, 0 if unknown.
+func (m *member) slots(q Query) int {
+	if q.Slots > 0 {
+		return q.Slots
+	}
+	return m.Slots
+}
+
 // hasCapacity reports whether the upstream has capacity for the request in
 // addition to its load.
 func (m *member) hasCapacity(load UpstreamLoad, q Query) bool {
--- a/internal/core/placement/set.go
+++ b/internal/core/placement/set.go
@@ -33,6 +33,7 @@
 	reported   int
 	reportedAt time.Time
 	limiter    limiter
+	brittle    brittle
 	// unlisted reports whether the entry is currently missing from the list.
 	unlisted bool
 	// hash gives the upstreams an order that is the same at all nodes.
@@ -47,11 +48,14 @@
 	zone    string
 	rng     *rand.Rand
 	cost    Cost
-	share   LimitShare
+	shares  Shares
 	members map[string]*member
 	// sorted holds the members in order of ID, so that the choices are
 	// deterministic.
 	sorted []*member
+	// brittleServices holds what an upstream of each service has named last of its
+	// brittleness.
+	brittleServices map[string]RateLimit
 	// estimators holds the speed estimator of each service's engines.
 	estimators map[string]*speedEstimator
 }
@@ -67,11 +71,12 @@
 }
 
 // New returns an empty set for a node in a zone. The set ranks upstreams by cost
-// and keeps to the node's share of their limits.
-func New(self, zone string, cost Cost, share LimitShare, rng *rand.Rand) *Set {
+// and keeps to the node's shares.
+func New(self, zone string, cost Cost, shares Shares, rng *rand.Rand) *Set {
 	return &Set{
-		self: self, zone: zone, cost: cost, share: share, rng: rng,
+		self: self, zone: zone, cost: cost, shares: shares, rng: rng,
 		members: make(map[string]*member), estimators: make(map[string]*speedEstimator),
+		brittleServices: make(map[string]RateLimit),
 	}
 }
 
--- a/internal/core/placement/set_test.go
+++ b/internal/core/placement/set_test.go
@@ -11,11 +11,14 @@
 
 var epoch = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
 
-// wholeLimit gives a node the whole limit of each upstream.
-func wholeLimit(_ string, perSecond float64) float64 { return perSecond }
+// wholeShares gives a node all that each upstream takes.
+var wholeShares = Shares{
+	Limit: func(_ string, perSecond float64) float64 { return perSecond },
+	Slots: func(_ string, slots int) int { return slots },
+}
 
 func newSet(node string, n int) *Set {
-	s := New(node, "z", LeastTime, wholeLimit, rand.New(rand.NewPCG(1, 2)))
+	s := New(node, "z", LeastTime, wholeShares, rand.New(rand.NewPCG(1, 2)))
 	for i := range n {
 		s.Put(Upstream{ID: fmt.Sprint("u", i), Service: "s", Zone: "z", Slots: 6, State: StateReady})
 	}
--- a/internal/run/gateway/handler.go
+++ b/internal/run/gateway/handler.go
@@ -45,6 +45,8 @@
 	stream stream
 	// rateLimit is the limit that the upstream names in the current answer.
 	rateLimit placement.RateLimit
+	// brittle is the number of rejections a second that the upstream says it bears.
+	brittle placement.RateLimit
 	// leaving is set if the upstream says in the current answer that it leaves.
 	leaving bool
 	// connect is what became of the connection of the current attempt.
--- a/internal/run/gateway/protocol.go
+++ b/internal/run/gateway/protocol.go
@@ -54,6 +54,8 @@
 	Load *core.Load
 	// RateLimit is the limit that the upstream names.
 	RateLimit placement.RateLimit
+	// Brittle is the number of rejections a second that the upstream says it bears.
+	Brittle placement.RateLimit
 	// Leaving is set if the upstream says that it leaves.
 	Leaving bool
 }
--- a/internal/tool/emulator/oracle.go
+++ b/internal/tool/emulator/oracle.go
@@ -26,6 +26,7 @@
 	submissions, retries map[string][]time.Time
 	crashing             crashingOracle
 	limit                limitOracle
+	brittle              brittleOracle
 	violations           []string
 }
 
@@ -110,6 +111,7 @@
 	o.checkRetryBudget()
 	o.checkCrashing()
 	o.checkLimits()
+	o.checkBrittle()
 	for _, c := range callers {
 		if !c.done {
 			o.violated("%s was neither answered, refused nor aborted", c.request.ID)
--- a/internal/tool/emulator/pattern.go
+++ b/internal/tool/emulator/pattern.go
@@ -62,6 +62,8 @@
 	CrashingPart *CrashingPart
 	// UpstreamCut partitions nodes from all upstreams; nil for never.
 	UpstreamCut *UpstreamCut
+	// Brittle are upstreams that say that they are brittle; nil for none.
+	Brittle *BrittleUpstreams
 	// Limits are the limits that upstreams name; nil for none.
 	Limits *UpstreamLimits
 	// RestartAt is when all nodes restart without state; zero is never.
--- a/internal/tool/emulator/run.go
+++ b/internal/tool/emulator/run.go
@@ -160,6 +160,7 @@
 	// The guarantees do not depend on the bounds that are set for the nodes.
 	s.oracle = newOracle(defaultBounds, config.Teams)
 	s.oracle.limit = limitOracle{limits: pattern.Limits, arrivals: make(map[string][]limitedArrival), named: make(map[string]map[int]time.Time)}
+	s.oracle.brittle = brittleOracle{upstreams: pattern.Brittle, rejected: make(map[string][]time.Time)}
 	s.oracle.crashing = crashingOracle{part: pattern.CrashingPart, begun: make(map[*caller]bool)}
 	s.routes = make(map[string]route.Route)
 	for _, r := range config.Routes {
@@ -171,6 +172,11 @@
 	for i := range setup.PlainUpstreams {
 		s.add(newPlain(fmt.Sprint("plain-", i), zone(i)))
 	}
+	for _, u := range s.upstreams {
+		if b := pattern.Brittle; b != nil && u.Service == b.Service {
+			s.oracle.brittle.number++
+		}
+	}
 	s.startNodes(true)
 	return s
 }
