--- a/internal/core/placement/brittle.go
+++ b/internal/core/placement/brittle.go
@@ -42,14 +42,6 @@
 	s.brittleServices[m.Service] = rejections
 }
 
-// partOfSlots returns the number of requests that a node with a share of the slots may run.
-func partOfSlots(share float64) int {
-	if share <= 0 {
-		return 0
-	}
-	return max(int(share), 1)
-}
-
 // RecordBrittle records the number of rejections a second that an upstream bears, as it names
 // it in its answer to an attempt, or that it names none, and reports whether that has changed.
 func (s *Set) RecordBrittle(now, dispatched time.Time, id string, rejections RateLimit) (changed bool) {
