gateway: peers probe upstreams that they have not reached since they are asked

What callers could see: with little traffic a node learns up to two seconds late that its own paths are lost, since a peer that had an answer a second before it was asked neither confirms nor probes. Found by reading, for the bound of contact_ms.

Change: a peer probes what has not answered it within the interval of probes.

Evidence: TestOnePeerProbesForAnother; TestCallersOfCutOffNodesAreServed passes as before.

--- a/internal/core/gateway/paths.go
+++ b/internal/core/gateway/paths.go
@@ -211,28 +211,28 @@
 	}
 	var list []peer.ReachedUpstream
 	for _, process := range slices.Sorted(maps.Keys(asked)) {
-		if g.hasReached(process) {
+		if g.hasReached(process, reachRetention) {
 			list = append(list, peer.ReachedUpstream{Process: process, Age: g.now.Sub(g.paths.reached[process])})
 		}
 	}
 	return list
 }
 
-// hasReached reports whether a process has just answered this node.
-func (g *Gateway) hasReached(process uint64) bool {
+// hasReached reports whether a process has answered this node within a time.
+func (g *Gateway) hasReached(process uint64, within time.Duration) bool {
 	at, known := g.paths.reached[process]
-	return known && g.now.Sub(at) < reachRetention
+	return known && g.now.Sub(at) < within
 }
 
-// probeForPeer probes the upstreams that a peer asks for and that this node has not reached
-// just now. One of the nodes does so for each upstream.
+// probeForPeer probes the upstreams that a peer asks for and that have not answered this node
+// since it may have asked. One of the nodes does so for each upstream.
 func (g *Gateway) probeForPeer(s peer.Status) {
 	if len(s.Unreached) == 0 || g.paths.lost || g.now.Before(g.paths.probeAt) {
 		return
 	}
 	for _, u := range g.upstreams.All() {
 		process := processID(u)
-		if slices.Contains(s.Unreached, process) && !g.hasReached(process) && g.isFirstReaching(u.ID) {
+		if slices.Contains(s.Unreached, process) && !g.hasReached(process, probeInterval) && g.isFirstReaching(u.ID) {
 			g.paths.probeAt = g.now.Add(probeInterval)
 			g.emit(ProbeUpstream{Upstream: u})
 		}
--- a/internal/core/gateway/paths_test.go
+++ b/internal/core/gateway/paths_test.go
@@ -140,6 +140,36 @@
 	}
 }
 
+// TestOnePeerProbesForAnother: where nobody has just reached the upstreams that a node asks for,
+// one of the others probes each of them, and tells the result with its next status.
+func TestOnePeerProbesForAnother(t *testing.T) {
+	nodes := make(map[string]*bench)
+	for _, name := range []string{"b", "c", "d"} {
+		n := newBench(t, name)
+		n.ready(pathsUpstreams()...)
+		nodes[name] = n
+	}
+	asking := status("a")
+	for _, u := range pathsUpstreams()[:4] {
+		asking.Unreached = append(asking.Unreached, processID(u))
+	}
+	probed := make(map[string]int)
+	for _, n := range nodes {
+		for other := range nodes {
+			n.receive(status(other))
+		}
+		for _, e := range n.receive(asking) {
+			if p, ok := e.(ProbeUpstream); ok {
+				probed[p.Upstream.ID]++
+				n.reduce(UpstreamProbed{Upstream: p.Upstream.ID, Connected: true})
+				n.Check(n.g.reachedForPeers(), qt.Contains, peer.ReachedUpstream{Process: processID(p.Upstream)})
+			}
+		}
+		n.Check(has(ProbeUpstream{}, n.receive(asking)), qt.IsFalse)
+	}
+	qt.Assert(t, probed, qt.DeepEquals, map[string]int{"d0": 1, "d1": 1, "m0": 1, "m1": 1})
+}
+
 // TestPathsAreRestoredByAProbe: a node without paths sends nothing to upstreams, so that only
 // its probes find that they are back. They are few.
 func TestPathsAreRestoredByAProbe(t *testing.T) {
