--- a/internal/core/gateway/attempt.go
+++ b/internal/core/gateway/attempt.go
@@ -19,9 +19,7 @@
 	first := !r.began && r.runs == 0
 	r.began, r.beganAt = true, g.now
 	g.recordLife(r)
-	g.recordLimit(r, e.RateLimit)
-	g.recordBrittle(r, e.Brittle)
-	g.recordLeaving(r, e.Leaving)
+	g.recordSignals(r, e.Signals)
 	g.recordConnect(r, e.Connect)
 	g.upstreams.RecordPrefillDone(g.now, r.upstream, r.conn)
 	if r.move == nil && !r.continuesRun {
@@ -73,12 +71,8 @@
 		g.countEnd(r, e.Result)
 	}
 	g.recordEnd(r, e)
-	if e.Framing != "" && !r.began {
-		g.recordLimit(r, e.RateLimit)
-		g.recordBrittle(r, e.Brittle)
-	}
 	if e.Framing != "" && !r.began && e.Result != ResultMisdirected {
-		g.recordLeaving(r, e.Leaving)
+		g.recordSignals(r, e.Signals)
 	}
 	r.phase = phaseWaiting
 	r.answerSent = r.answerSent || e.AnswerSent
--- a/internal/core/gateway/brittle_test.go
+++ b/internal/core/gateway/brittle_test.go
@@ -71,7 +71,7 @@
 	a.receive(status("b"))
 	conn, effects := a.arrive("/book/1")
 	d := a.dispatch(effects)
-	a.reduce(Ended{Conn: conn, Attempt: d.Attempt, Result: ResultFull, Framing: FramingLength, Brittle: fourRejections})
+	a.reduce(Ended{Conn: conn, Attempt: d.Attempt, Result: ResultFull, Framing: FramingLength, Signals: Signals{Brittle: fourRejections}})
 	a.Assert(b.receiveStatus(a.wait(statusInterval*2), "b"), qt.IsTrue)
 	for range 20 {
 		b.arrive("/book/1")
--- a/internal/core/gateway/event.go
+++ b/internal/core/gateway/event.go
@@ -49,12 +49,8 @@
 type Began struct {
 	Conn    uint64
 	Attempt int
-	// RateLimit is the limit that the upstream names in its answer.
-	RateLimit placement.RateLimit
-	// Brittle is the number of rejections a second that the upstream says it bears.
-	Brittle placement.RateLimit
-	// Leaving is set if the upstream says in its answer that it leaves.
-	Leaving bool
+	// Signals is what the upstream says of itself in its answer.
+	Signals Signals
 	// Connect is what became of the attempt's connection.
 	Connect Connect
 }
@@ -81,12 +77,8 @@
 	CallerFraming Framing
 	// Load is the load that the upstream reported, nil if it reported none.
 	Load *Load
-	// RateLimit is the limit that the upstream names in its answer.
-	RateLimit placement.RateLimit
-	// Brittle is the number of rejections a second that the upstream says it bears.
-	Brittle placement.RateLimit
-	// Leaving is set if the upstream says in its answer that it leaves.
-	Leaving bool
+	// Signals is what the upstream says of itself in its answer.
+	Signals Signals
 	// Connect is what became of the attempt's connection.
 	Connect Connect
 	// RetryAfter is the delay that a node names which refuses a request passed on to it.
@@ -97,6 +89,16 @@
 	PartialBytes int
 }
 
+// Signals is what an upstream says of itself in the head of an answer.
+type Signals struct {
+	// RateLimit is the limit that it names.
+	RateLimit placement.RateLimit
+	// Brittle is the number of rejections a second that it bears.
+	Brittle placement.RateLimit
+	// Leaving is set if it leaves.
+	Leaving bool
+}
+
 // Connect is what became of the connection of an attempt.
 type Connect string
 
--- a/internal/core/gateway/leaving.go
+++ b/internal/core/gateway/leaving.go
@@ -15,13 +15,6 @@
 // a peer, with the time at which they were last listed.
 type leaves map[uint64]time.Time
 
-// recordLeaving records that the upstream of the current attempt says that it leaves.
-func (g *Gateway) recordLeaving(r *request, leaving bool) {
-	if leaving {
-		g.leaveAnnounced(r.process, g.cfg.Node)
-	}
-}
-
 // leaveAnnounced records that a process of an upstream has said to a node that it leaves.
 func (g *Gateway) leaveAnnounced(process uint64, to string) {
 	if _, known := g.leaves[process]; known {
--- a/internal/core/gateway/leaving_test.go
+++ b/internal/core/gateway/leaving_test.go
@@ -31,8 +31,8 @@
 	b.Helper()
 	conn, effects := b.arrive(path)
 	d := b.dispatch(effects)
-	b.reduce(Began{Conn: conn, Attempt: d.Attempt, Leaving: true})
-	b.reduce(Ended{Conn: conn, Attempt: d.Attempt, Result: ResultComplete, Framing: FramingLength, Leaving: true})
+	b.reduce(Began{Conn: conn, Attempt: d.Attempt, Signals: Signals{Leaving: true}})
+	b.reduce(Ended{Conn: conn, Attempt: d.Attempt, Result: ResultComplete, Framing: FramingLength, Signals: Signals{Leaving: true}})
 }
 
 // sentTo returns how often each upstream gets a request, by Dispatch or as the target of
@@ -142,11 +142,11 @@
 		ended   Ended
 		leaving bool
 	}{
-		{Ended{Result: ResultFull, Framing: FramingLength, Leaving: true}, true},
-		{Ended{Result: ResultRefused, Framing: FramingLength, Leaving: true}, true},
-		{Ended{Result: ResultErrored, Framing: FramingLength, Leaving: true}, true},
-		{Ended{Result: ResultMalformed, Framing: FramingClose, Leaving: true}, true},
-		{Ended{Result: ResultMisdirected, Framing: FramingLength, Leaving: true}, false},
+		{Ended{Result: ResultFull, Framing: FramingLength, Signals: Signals{Leaving: true}}, true},
+		{Ended{Result: ResultRefused, Framing: FramingLength, Signals: Signals{Leaving: true}}, true},
+		{Ended{Result: ResultErrored, Framing: FramingLength, Signals: Signals{Leaving: true}}, true},
+		{Ended{Result: ResultMalformed, Framing: FramingClose, Signals: Signals{Leaving: true}}, true},
+		{Ended{Result: ResultMisdirected, Framing: FramingLength, Signals: Signals{Leaving: true}}, false},
 		{Ended{Result: ResultFull, Framing: FramingLength}, false},
 	} {
 		t.Run(string(row.ended.Result), func(t *testing.T) {
@@ -223,7 +223,7 @@
 		_, effects = b.submit(Request{Path: "/plan/2", Key: "k", Prompt: placement.Prompt{InputTokens: 100, MaxOutputTokens: 10}})
 		d = b.dispatch(effects)
 	}
-	m, ok := findMove(b.reduce(Began{Conn: d.Conn, Attempt: d.Attempt, Leaving: true}))
+	m, ok := findMove(b.reduce(Began{Conn: d.Conn, Attempt: d.Attempt, Signals: Signals{Leaving: true}}))
 	b.Assert(ok, qt.IsTrue)
 	b.Assert(m.Conn, qt.Equals, conn)
 	b.Assert(m.Target.ID, qt.Equals, "m2")
--- a/internal/core/gateway/limit.go
+++ b/internal/core/gateway/limit.go
@@ -75,10 +75,3 @@
 	}
 	return 0
 }
-
-// recordLimit records the limit that the upstream of the current attempt names.
-func (g *Gateway) recordLimit(r *request, limit placement.RateLimit) {
-	if g.upstreams.RecordLimit(g.now, r.dispatchedAt, r.upstream, limit) {
-		g.log("limit", "limit of upstream changed", "upstream", r.upstream, "named", limit.Named, "per_s", limit.PerSecond)
-	}
-}
--- a/internal/core/gateway/limit_test.go
+++ b/internal/core/gateway/limit_test.go
@@ -111,7 +111,7 @@
 	b.g.table.Teams()[0].Rate = 0
 	conn, effects := b.arrive("/plan/1")
 	d := b.dispatch(effects)
-	b.reduce(Began{Conn: conn, Attempt: d.Attempt, RateLimit: placement.RateLimit{Named: true, PerSecond: 2}})
+	b.reduce(Began{Conn: conn, Attempt: d.Attempt, Signals: Signals{RateLimit: placement.RateLimit{Named: true, PerSecond: 2}}})
 	b.reduce(Ended{Conn: conn, Attempt: d.Attempt, Result: ResultComplete})
 	return b
 }
@@ -149,7 +149,7 @@
 		{"resumed streams", func(b *bench) []Effect {
 			var all []Effect
 			for _, r := range b.running() {
-				all = append(all, b.reduce(Began{Conn: r.conn, Attempt: r.attempt, RateLimit: twoPerSecond})...)
+				all = append(all, b.reduce(Began{Conn: r.conn, Attempt: r.attempt, Signals: Signals{RateLimit: twoPerSecond}})...)
 				all = append(all, b.reduce(Ended{Conn: r.conn, Attempt: r.attempt, Result: ResultBroken, AnswerSent: true})...)
 			}
 			_, effects := b.arrive("/ask/1")
@@ -182,7 +182,7 @@
 func (b *bench) endAll(result Result) []Effect {
 	var all []Effect
 	for _, r := range b.running() {
-		all = append(all, b.reduce(Ended{Conn: r.conn, Attempt: r.attempt, Result: result, Framing: FramingLength, RateLimit: twoPerSecond})...)
+		all = append(all, b.reduce(Ended{Conn: r.conn, Attempt: r.attempt, Result: result, Framing: FramingLength, Signals: Signals{RateLimit: twoPerSecond}})...)
 	}
 	_, effects := b.arrive("/ask/1")
 	return append(all, effects...)
--- a/internal/core/gateway/paths.go
+++ b/internal/core/gateway/paths.go
@@ -2,10 +2,8 @@
 
 import (
 	"maps"
-	"slices"
 	"time"
 
-	"monsoonlanding/internal/core/peer"
 	"monsoonlanding/internal/core/placement"
 )
 
@@ -59,14 +57,6 @@
 	confirmed bool
 }
 
-// blame is a failure that counts against an upstream's process or against its version.
-type blame struct {
-	at      time.Time
-	process uint64
-	// withdraw takes back what was counted, nil if there is nothing to take back.
-	withdraw func()
-}
-
 // recordConnect records what became of the connection of the request's current attempt.
 func (g *Gateway) recordConnect(r *request, c Connect) {
 	switch c {
@@ -124,20 +114,21 @@
 	if len(p.failed) == 0 {
 		return
 	}
-	if len(p.failed) >= suspectAfter || p.lost {
+	if len(p.failed) >= suspectAfter {
 		g.probeUpstreams()
 	}
-	if p.lost {
-		if !g.peerReaches() {
-			// Nobody reaches an upstream: it is not this node's paths.
-			p.lost = false
-			g.log("paths", "no peer reaches upstreams either")
-		}
-		return
-	}
-	if !g.pathsFail() {
-		return
+	switch {
+	case p.lost && !g.peerReaches():
+		p.lost = false
+		g.log("paths", "no peer reaches upstreams either")
+	case !p.lost && g.pathsFail():
+		g.pathsLost()
 	}
+}
+
+// pathsLost turns to the other nodes, since this one reaches no upstream.
+func (g *Gateway) pathsLost() {
+	p := &g.paths
 	p.lost = true
 	g.log("paths", "paths to all upstreams are lost", "failed", len(p.failed),
 		"listed", len(g.upstreams.All()), "since_ms", g.now.Sub(p.failingSince).Milliseconds())
@@ -166,86 +157,6 @@
 		zoneCount(confirmed) >= min(2, zoneCount(listed))
 }
 
-// confirmFailures notes which of the upstreams that this node does not reach a peer has reached
-// since.
-func (g *Gateway) confirmFailures(s peer.Status) {
-	if len(g.paths.failed) == 0 || len(s.Reached) == 0 {
-		return
-	}
-	for _, u := range g.upstreams.All() {
-		f, failed := g.paths.failed[u.ID]
-		i := slices.IndexFunc(s.Reached, func(r peer.ReachedUpstream) bool { return r.Process == processID(u) })
-		if failed && i >= 0 && g.now.Add(-s.Reached[i].Age).After(f.at) {
-			f.confirmed = true
-			g.paths.failed[u.ID] = f
-		}
-	}
-	g.checkPaths()
-}
-
-// unreached returns the processes that this node asks its peers for.
-func (g *Gateway) unreached() []uint64 {
-	if len(g.paths.failed) < suspectAfter {
-		return nil
-	}
-	var list []uint64
-	for _, u := range g.upstreams.All() {
-		if _, failed := g.paths.failed[u.ID]; failed && len(list) < maxUnreached {
-			list = append(list, processID(u))
-		}
-	}
-	return list
-}
-
-// reachedForPeers returns those of the processes that peers ask for which have just answered
-// this node.
-func (g *Gateway) reachedForPeers() []peer.ReachedUpstream {
-	asked := make(map[uint64]bool)
-	for _, m := range g.members {
-		if !g.inContact(m) {
-			continue
-		}
-		for _, process := range m.status.Unreached {
-			asked[process] = true
-		}
-	}
-	var list []peer.ReachedUpstream
-	for _, process := range slices.Sorted(maps.Keys(asked)) {
-		if g.hasReached(process, reachRetention) {
-			list = append(list, peer.ReachedUpstream{Process: process, Age: g.now.Sub(g.paths.reached[process])})
-		}
-	}
-	return list
-}
-
-// hasReached reports whether a process has answered this node within a time.
-func (g *Gateway) hasReached(process uint64, within time.Duration) bool {
-	at, known := g.paths.reached[process]
-	return known && g.now.Sub(at) < within
-}
-
-// probeForPeer probes the upstreams that a peer asks for and that have not answered this node
-// since it may have asked. One of the nodes does so for each upstream.
-func (g *Gateway) probeForPeer(s peer.Status) {
-	if len(s.Unreached) == 0 || g.paths.lost || g.now.Before(g.paths.probeAt) {
-		return
-	}
-	for _, u := range g.upstreams.All() {
-		process := processID(u)
-		if slices.Contains(s.Unreached, process) && !g.hasReached(process, probeInterval) && g.isFirstReaching(u.ID) {
-			g.paths.probeAt = g.now.Add(probeInterval)
-			g.emit(ProbeUpstream{Upstream: u})
-		}
-	}
-}
-
-// isFirstReaching reports whether this node is the first of those in contact that don't miss
-// upstreams themselves to probe an upstream.
-func (g *Gateway) isFirstReaching(upstream string) bool {
-	before, _ := g.orderInContact(upstream, func(m *member) bool { return len(m.status.Unreached) == 0 })
-	return before == 0
-}
-
 // peerReaches reports whether a peer reaches upstreams.
 func (g *Gateway) peerReaches() bool {
 	for _, m := range g.members {
@@ -261,89 +172,11 @@
 	return !g.paths.reachedAt.IsZero() && g.now.Sub(g.paths.reachedAt) < reachRetention
 }
 
-// probeUpstreams opens connections to a few upstreams, those in other zones than the ones that
-// have failed first.
-func (g *Gateway) probeUpstreams() {
-	p := &g.paths
-	if g.now.Before(p.probeAt) {
-		return
-	}
-	p.probeAt = g.now.Add(probeInterval)
-	failedZones := make(map[string]bool)
-	for id := range p.failed {
-		if u, ok := g.upstreams.Get(id); ok {
-			failedZones[u.Zone] = true
-		}
-	}
-	list := g.upstreams.All()
-	g.rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	probes := make([]placement.Upstream, 0, probedUpstreams)
-	for _, preferred := range []bool{true, false} {
-		for _, u := range list {
-			_, failed := p.failed[u.ID]
-			fresh := !failed && !failedZones[u.Zone]
-			if len(probes) < probedUpstreams && fresh == preferred {
-				probes = append(probes, u)
-				failedZones[u.Zone] = failedZones[u.Zone] || fresh
-			}
-		}
-	}
-	for _, u := range probes {
-		g.emit(ProbeUpstream{Upstream: u})
-	}
-}
-
-// upstreamProbed processes the result of a probe.
-func (g *Gateway) upstreamProbed(e UpstreamProbed) {
-	u, known := g.upstreams.Get(e.Upstream)
-	switch {
-	case !known:
-	case e.Connected:
-		g.connectOpened(processID(u))
-	default:
-		g.connectFailed(e.Upstream)
-	}
-}
-
 // prunePaths forgets when upstreams were reached long ago.
 func (g *Gateway) prunePaths() {
 	maps.DeleteFunc(g.paths.reached, func(_ uint64, at time.Time) bool { return g.now.Sub(at) > reachRetention })
 }
 
-// blameProcess notes that a failure of an attempt has been counted. It is taken back if the
-// node finds that its own paths are lost.
-func (g *Gateway) blameProcess(process uint64, withdraw func()) {
-	p := &g.paths
-	kept := p.blamed[:0]
-	for _, b := range p.blamed {
-		if g.now.Sub(b.at) < 2*blameRetention {
-			kept = append(kept, b)
-		}
-	}
-	p.blamed = append(kept, blame{at: g.now, process: process, withdraw: withdraw})
-}
-
-// withdrawBlame takes back what has been counted against upstreams since a time.
-func (g *Gateway) withdrawBlame(since time.Time) {
-	g.upstreams.ForgetFailures(since)
-	for _, b := range g.paths.blamed {
-		if b.at.Before(since) {
-			continue
-		}
-		g.quarantine.Refute(since, b.process)
-		if b.withdraw != nil {
-			b.withdraw()
-		}
-	}
-	g.paths.blamed = nil
-	for _, r := range g.requests {
-		if evidence := g.evidence(r); evidence != nil && r.phase == phaseRunning && !r.began && r.counted == countedLate {
-			evidence.Late--
-			r.counted = notCounted
-		}
-	}
-}
-
 // zoneCount returns the number of zones of upstreams.
 func zoneCount(list []placement.Upstream) int {
 	zones := make(map[string]bool)
--- a/internal/core/placement/brittle.go
+++ b/internal/core/placement/brittle.go
@@ -56,25 +56,13 @@
 
 // OwnBrittle returns what this node has observed of brittle upstreams, for its peers.
 func (s *Set) OwnBrittle(now time.Time) []ObservedLimit {
-	var list []ObservedLimit
-	for _, m := range s.sorted {
-		if o, ok := m.brittle.report(now, m.ID); ok {
-			list = append(list, o)
-		}
-	}
-	return list
+	return s.ownObserved(now, observedBrittle)
 }
 
 // MergeBrittle adds what a peer has observed of brittle upstreams. The latest observation
 // counts.
 func (s *Set) MergeBrittle(now time.Time, reported []ObservedLimit) {
-	for _, o := range reported {
-		m := s.members[o.Upstream]
-		if m == nil {
-			continue
-		}
-		if at, counts := m.brittle.merge(now, o); counts {
-			s.setBrittle(m, at, o.Limit)
-		}
-	}
+	s.mergeObserved(now, reported, observedBrittle, s.setBrittle)
 }
+
+func observedBrittle(m *member) *observed { return &m.brittle.observed }
--- a/internal/core/placement/limit.go
+++ b/internal/core/placement/limit.go
@@ -158,25 +158,13 @@
 }
 
 // OwnLimits returns the limits that this node has observed, for its peers.
-func (s *Set) OwnLimits(now time.Time) []ObservedLimit {
-	var list []ObservedLimit
-	for _, m := range s.sorted {
-		if o, ok := m.limiter.report(now, m.ID); ok {
-			list = append(list, o)
-		}
-	}
-	return list
-}
+func (s *Set) OwnLimits(now time.Time) []ObservedLimit { return s.ownObserved(now, observedLimit) }
 
 // MergeLimits adds the limits that a peer has observed. The latest one counts.
-func (s *Set) MergeLimits(now time.Time, observed []ObservedLimit) {
-	for _, o := range observed {
-		m := s.members[o.Upstream]
-		if m == nil {
-			continue
-		}
-		if at, counts := m.limiter.merge(now, o); counts {
-			m.limiter.observe(now, at, o.Limit)
-		}
-	}
+func (s *Set) MergeLimits(now time.Time, reported []ObservedLimit) {
+	s.mergeObserved(now, reported, observedLimit, func(m *member, at time.Time, limit RateLimit) {
+		m.limiter.observe(now, at, limit)
+	})
 }
+
+func observedLimit(m *member) *observed { return &m.limiter.observed }
--- a/internal/core/placement/observed.go
+++ b/internal/core/placement/observed.go
@@ -36,3 +36,27 @@
 	at = now.Add(-reported.Age)
 	return at, at.After(o.observedAt)
 }
+
+// ownObserved returns what this node has observed itself of the upstreams, for its peers.
+func (s *Set) ownObserved(now time.Time, of func(*member) *observed) []ObservedLimit {
+	var list []ObservedLimit
+	for _, m := range s.sorted {
+		if o, ok := of(m).report(now, m.ID); ok {
+			list = append(list, o)
+		}
+	}
+	return list
+}
+
+// mergeObserved sets those of a peer's observations that are later than the latest ones.
+func (s *Set) mergeObserved(now time.Time, reported []ObservedLimit, of func(*member) *observed, set func(*member, time.Time, RateLimit)) {
+	for _, o := range reported {
+		m := s.members[o.Upstream]
+		if m == nil {
+			continue
+		}
+		if at, counts := of(m).merge(now, o); counts {
+			set(m, at, o.Limit)
+		}
+	}
+}
--- a/internal/run/gateway/answer.go
+++ b/internal/run/gateway/answer.go
@@ -54,7 +54,7 @@
 // request can be retried if the connection breaks. What is longer than
 // maxBufferedBytes is relayed as it arrives.
 func (h *handler) relayDocument(answer *http1.Answer, d core.Dispatch) error {
-	h.runner.submit(core.Began{Conn: h.conn, Attempt: d.Attempt, RateLimit: h.rateLimit, Brittle: h.brittle, Leaving: h.leaving, Connect: h.connect})
+	h.runner.submit(core.Began{Conn: h.conn, Attempt: d.Attempt, Signals: h.signals, Connect: h.connect})
 	if answer.Length() > maxAnswerBytes {
 		return errors.Wrapf(errMalformed, "got an answer of %d bytes, expected at most %d", answer.Length(), maxAnswerBytes)
 	}
--- a/internal/run/gateway/attempt.go
+++ b/internal/run/gateway/attempt.go
@@ -71,9 +71,9 @@
 		return ended
 	}
 	head := h.runner.cfg.Protocol.ClassifyHead(h.request.ID, answer.Status(), answer.Header())
-	h.rateLimit, h.brittle, h.leaving = head.RateLimit, head.Brittle, head.Leaving
+	h.signals = head.Signals
 	ended := core.Ended{
-		Result: head.Result, Detail: head.Detail, Load: head.Load, RateLimit: head.RateLimit, Brittle: head.Brittle, Leaving: head.Leaving,
+		Result: head.Result, Detail: head.Detail, Load: head.Load, Signals: head.Signals,
 		Connect: h.connect, Framing: core.Framing(answer.Framing()),
 	}
 	switch {
--- a/internal/run/gateway/handler.go
+++ b/internal/run/gateway/handler.go
@@ -9,7 +9,6 @@
 	"github.com/go-faster/errors"
 
 	core "monsoonlanding/internal/core/gateway"
-	"monsoonlanding/internal/core/placement"
 	"monsoonlanding/internal/wire/relayhttp"
 )
 
@@ -43,12 +42,8 @@
 	framing core.Framing
 	// stream is the state of a streamed answer over all attempts.
 	stream stream
-	// rateLimit is the limit that the upstream names in the current answer.
-	rateLimit placement.RateLimit
-	// brittle is the number of rejections a second that the upstream says it bears.
-	brittle placement.RateLimit
-	// leaving is set if the upstream says in the current answer that it leaves.
-	leaving bool
+	// signals is what the upstream says of itself in the current answer.
+	signals core.Signals
 	// connect is what became of the connection of the current attempt.
 	connect core.Connect
 	// answer is the answer last read by bufferAnswer, nil before the first.
--- a/internal/run/gateway/pace.go
+++ b/internal/run/gateway/pace.go
@@ -32,7 +32,7 @@
 	p.last = h.runner.cfg.Clock.Now()
 	if p.first.IsZero() {
 		p.first = p.last
-		h.runner.submit(core.Began{Conn: h.conn, Attempt: d.Attempt, RateLimit: h.rateLimit, Brittle: h.brittle, Leaving: h.leaving, Connect: h.connect})
+		h.runner.submit(core.Began{Conn: h.conn, Attempt: d.Attempt, Signals: h.signals, Connect: h.connect})
 	}
 	p.events += countEvents(events)
 	if p.events >= core.PaceEvents {
--- a/internal/run/gateway/protocol.go
+++ b/internal/run/gateway/protocol.go
@@ -10,7 +10,6 @@
 	"monsoonlanding/internal/core/fleet"
 	core "monsoonlanding/internal/core/gateway"
 	"monsoonlanding/internal/core/leader"
-	"monsoonlanding/internal/core/placement"
 	"monsoonlanding/internal/core/rollout"
 	"monsoonlanding/internal/core/route"
 	"monsoonlanding/internal/core/store"
@@ -52,12 +51,8 @@
 	Detail string
 	// Load is the load that the upstream reports, nil if it reports none.
 	Load *core.Load
-	// RateLimit is the limit that the upstream names.
-	RateLimit placement.RateLimit
-	// Brittle is the number of rejections a second that the upstream says it bears.
-	Brittle placement.RateLimit
-	// Leaving is set if the upstream says that it leaves.
-	Leaving bool
+	// Signals is what the upstream says of itself.
+	Signals core.Signals
 }
 
 // Directory returns the addresses that callers can connect to, at most limit.
--- a/internal/tool/emulator/caller.go
+++ b/internal/tool/emulator/caller.go
@@ -152,7 +152,7 @@
 		})
 		return
 	case s.isFull(u), s.rng.Float64() < s.pattern.RefusedFraction:
-		ended := gateway.Ended{Result: gateway.ResultFull, Connect: connect, Framing: gateway.FramingLength, Brittle: s.brittleness(u)}
+		ended := gateway.Ended{Result: gateway.ResultFull, Connect: connect, Framing: gateway.FramingLength, Signals: gateway.Signals{Brittle: s.brittleness(u)}}
 		s.turnedAway(u)
 		s.after(2*messageLatency, func() { s.attemptEnded(d.Conn, c, ended) })
 		return
@@ -187,7 +187,7 @@
 		if current() {
 			c.began = true
 			s.answerBegan(c)
-			s.reduce(node, gateway.Began{Conn: d.Conn, Attempt: d.Attempt, RateLimit: s.nameLimit(node, u), Brittle: s.brittleness(u), Connect: connect})
+			s.reduce(node, gateway.Began{Conn: d.Conn, Attempt: d.Attempt, Signals: gateway.Signals{RateLimit: s.nameLimit(node, u), Brittle: s.brittleness(u)}, Connect: connect})
 		}
 	})
 	if paced := begin.Add(paceTime); paced.Before(end) && u.cached != nil {
