gateway, platform, placement: the pause that an upstream asks for is read and logged

A node logs which answer asked for a pause and for how long, and with each dispatch what is left of a pause of its upstream; gateway_state counts the paused upstreams of a service. Nothing is decided by it yet.

Cause for this: the line of an attempt's end had the status only, so that a log could not tell a request that went past a known pause from one that was sent because no pause was known.

A refusal with 503 or 429 names a pause by Retry-After: seconds, also fractions, or a date. Of several values the longest counts; what can't be decoded names none and stands in the attempt's detail. A pause is bounded at ten minutes.

Evidence: TestPauseIsDecoded.

--- a/internal/core/gateway/event.go
+++ b/internal/core/gateway/event.go
@@ -97,6 +97,8 @@
 	Brittle placement.RateLimit
 	// Leaving is set if it leaves.
 	Leaving bool
+	// Pause is the time for which it wants no requests from this node, 0 if it names none.
+	Pause time.Duration
 }
 
 // Connect is what became of the connection of an attempt.
--- a/internal/core/gateway/request.go
+++ b/internal/core/gateway/request.go
@@ -244,7 +244,7 @@
 	if !engine {
 		prompt = placement.Prompt{}
 	}
-	load := g.upstreams.Load(u.ID)
+	load, pauseLeft := g.upstreams.Load(u.ID), g.upstreams.PauseLeft(g.now, u.ID)
 	g.upstreams.RecordStart(g.now, u.ID, r.conn, prompt)
 	if from != (KVCache{}) {
 		g.upstreams.RecordCacheMove(u.ID, r.conn)
@@ -263,7 +263,7 @@
 		EngineWork:   engine,
 	})
 	g.logRequest(r, "place", "dispatched", "upstream", u.ID, "attempt", r.attempt, "moved", from != (KVCache{}),
-		"running", load.Running, "prefill", load.Prefill, "input", r.req.Prompt.InputTokens,
+		"running", load.Running, "prefill", load.Prefill, "pause_ms", pauseLeft.Milliseconds(), "input", r.req.Prompt.InputTokens,
 		"waited_ms", g.now.Sub(r.arrived).Milliseconds(), "config", g.table.Version())
 }
 
--- a/internal/core/gateway/state.go
+++ b/internal/core/gateway/state.go
@@ -27,8 +27,10 @@
 // ServiceState is a snapshot of a service.
 type ServiceState struct {
 	Upstreams int `json:"upstreams"`
-	Waiting   int `json:"waiting"`
-	Running   int `json:"running"`
+	// Paused is the number of upstreams that have asked this node for a pause.
+	Paused  int `json:"paused"`
+	Waiting int `json:"waiting"`
+	Running int `json:"running"`
 	// Retries counts the retries in the current retry window.
 	Retries int `json:"resends"`
 }
@@ -59,7 +61,7 @@
 }
 
 func (g *Gateway) serviceState(service string) ServiceState {
-	s := ServiceState{Upstreams: g.upstreams.Count(service)}
+	s := ServiceState{Upstreams: g.upstreams.Count(service), Paused: g.upstreams.CountPaused(g.now, service)}
 	for _, r := range g.requests {
 		switch {
 		case r.service != service:
--- a/internal/core/placement/set.go
+++ b/internal/core/placement/set.go
@@ -56,6 +56,9 @@
 	// brittleServices holds what an upstream of each service has named last of its
 	// brittleness.
 	brittleServices map[string]RateLimit
+	// pauses holds the pauses that processes of upstreams have asked for. One outlasts an entry
+	// that is missing from the list for a while.
+	pauses map[process]*pause
 	// estimators holds the speed estimator of each service's engines.
 	estimators map[string]*speedEstimator
 }
@@ -76,7 +79,7 @@
 	return &Set{
 		self: self, zone: zone, cost: cost, shares: shares, rng: rng,
 		members: make(map[string]*member), estimators: make(map[string]*speedEstimator),
-		brittleServices: make(map[string]RateLimit),
+		brittleServices: make(map[string]RateLimit), pauses: make(map[process]*pause),
 	}
 }
 
@@ -139,8 +142,9 @@
 	return list
 }
 
-// Expire removes expired prompt parts.
+// Expire removes expired prompt parts and pauses that have ended.
 func (s *Set) Expire(now time.Time) {
+	s.expirePauses(now)
 	for _, m := range s.members {
 		m.expireParts(now)
 	}
