gateway, emulator: failing tests of upstreams that ask for a pause

A row for each way to an upstream, for each thing that could end a pause early, and for each trouble that an earlier incident was about.

--- /dev/null
+++ b/internal/core/gateway/pause_test.go
@@ -0,0 +1,240 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"monsoonlanding/internal/core/placement"
+	"monsoonlanding/internal/core/rollout"
+	"monsoonlanding/internal/core/store"
+)
+
+// askedPause is the pause that the upstreams of pausingBench ask for.
+const askedPause = 3 * time.Second
+
+// pausingBench has a plain and an engine upstream that have just asked for a pause, d1 and m1,
+// and one of each that has not, d2 and m2.
+func pausingBench(t *testing.T) *bench {
+	b := newBench(t, "a")
+	config := testConfig(1)
+	config.Services[1].Engine.CanCopyCache = true
+	config.Teams[0].Rate = 0
+	b.reduce(ConfigRead{Config: config, Body: []byte("1"), Source: "store"})
+	b.reduce(RolloutsChanged{})
+	b.list(up("d1", "desk"), up("m1", "model"))
+	b.askForPause("/book/1")
+	b.askForPause("/plan/1")
+	b.list(pausingUpstreams()...)
+	return b
+}
+
+func pausingUpstreams() []placement.Upstream {
+	return []placement.Upstream{up("d1", "desk"), up("d2", "desk"), up("m1", "model"), up("m2", "model")}
+}
+
+// askForPause sends a request to a path, which its upstream turns away with a pause.
+func (b *bench) askForPause(path string) {
+	b.Helper()
+	b.turnAway(path, askedPause)
+}
+
+func (b *bench) turnAway(path string, pause time.Duration) []Effect {
+	b.Helper()
+	return b.endFirstAttempt(path, Ended{Result: ResultFull, Framing: FramingLength, Signals: Signals{Pause: pause}})
+}
+
+// reachedBy returns how often effects reach each upstream in any way.
+func reachedBy(effects []Effect) map[string]int {
+	reached := make(map[string]int)
+	for _, e := range effects {
+		switch e := e.(type) {
+		case Dispatch:
+			reached[e.Upstream.ID]++
+		case Move:
+			reached[e.Source.ID]++
+			reached[e.Target.ID]++
+		case ProbeUpstream:
+			reached[e.Upstream.ID]++
+		}
+	}
+	return reached
+}
+
+// TestPausedUpstreamGetsNoRequest: an upstream that had asked a node for a pause got requests
+// from it after 200 ms, or at once where all others were ejected (BUDGET). One row for each way
+// to an upstream.
+func TestPausedUpstreamGetsNoRequest(t *testing.T) {
+	for _, row := range []struct {
+		name string
+		send func(*bench) []Effect
+	}{
+		{"first sends to a plain service", func(b *bench) []Effect {
+			_, effects := b.arrive("/book/2")
+			return effects
+		}},
+		{"first sends to an engine", func(b *bench) []Effect {
+			_, effects := b.arrive("/plan/2")
+			return effects
+		}},
+		{"the queue", func(b *bench) []Effect {
+			var all []Effect
+			for range 16 {
+				_, effects := b.arrive("/read/2")
+				all = append(all, effects...)
+			}
+			return append(all, b.endAll(ResultComplete)...)
+		}},
+		{"retries after refusals", func(b *bench) []Effect {
+			return b.endFirstAttempt("/read/2", Ended{Result: ResultFull, Framing: FramingLength})
+		}},
+		{"retries after errors", func(b *bench) []Effect {
+			return b.endFirstAttempt("/read/2", Ended{Result: ResultErrored, Framing: FramingLength})
+		}},
+		{"resumed streams", func(b *bench) []Effect {
+			return b.endFirstAttempt("/ask/2", Ended{Result: ResultBroken, Framing: FramingChunks, AnswerSent: true})
+		}},
+		{"all others ejected", func(b *bench) []Effect {
+			var all []Effect
+			for range 4 {
+				_, effects := b.arrive("/book/2")
+				all = append(all, effects...)
+				all = append(all, b.endAll(ResultUnreachable)...)
+			}
+			return all
+		}},
+		{"an unlisted one is the only other", func(b *bench) []Effect {
+			b.reduce(StoreLost{})
+			b.list(up("d1", "desk"))
+			_, effects := b.arrive("/book/2")
+			return effects
+		}},
+		{"requests that other nodes pass on", func(b *bench) []Effect {
+			b.conn++
+			return b.reduce(Arrived{Conn: b.conn, Request: Request{ID: "r", Host: "h", Path: "/book/1", Key: "k"}, Relayed: &Relayed{From: "c", Attempts: 1}})
+		}},
+		{"the new version of a rollout", func(b *bench) []Effect {
+			paused := up("d1", "desk")
+			paused.Version = "v2"
+			b.list(paused, up("d2", "desk"), up("m1", "model"), up("m2", "model"))
+			b.reduce(RolloutsChanged{Orders: []rollout.Order{{Service: "desk", Target: "v2", TimeLimit: 12 * time.Second, Revision: store.Revision{Number: 3}}}})
+			b.g.rollouts["desk"].share, b.g.rollouts["desk"].shareAt = 1, b.now
+			_, effects := b.arrive("/book/2")
+			return effects
+		}},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			b := pausingBench(t)
+			for end := b.now.Add(askedPause - 50*time.Millisecond); b.now.Before(end); {
+				reached := reachedBy(append(row.send(b), b.wait(TickInterval)...))
+				b.Assert(reached["d1"]+reached["m1"], qt.Equals, 0, qt.Commentf("%v before its end: %v", end.Sub(b.now), reached))
+				b.endAll(ResultComplete)
+			}
+		})
+	}
+}
+
+// TestMoveKeepsToPauses: a stream was moved from or to an engine that had asked for a pause, or
+// continued there.
+func TestMoveKeepsToPauses(t *testing.T) {
+	for _, row := range []struct {
+		name string
+		// asks is the upstream that asks for a pause before the move or, if set, after it
+		// with an outcome.
+		asks  func(source, target string) string
+		after MoveOutcome
+	}{
+		{"source, before the move", func(source, _ string) string { return source }, ""},
+		{"target, before the move", func(_, target string) string { return target }, ""},
+		{"target, when the copy is there", func(_, target string) string { return target }, MoveDone},
+		{"source, when it has stopped the run", func(source, _ string) string { return source }, MoveStopped},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			b := newBench(t, "a")
+			b.ready(up("m1", "model"), up("m2", "model"))
+			conn, d := b.streaming("/plan/1", 5000)
+			source, target := "m1", "m2"
+			if d.Upstream.ID == "m2" {
+				source, target = "m2", "m1"
+			}
+			asking := row.asks(source, target)
+			pause := func() { b.g.upstreams.RecordPause(b.now, asking, time.Second) }
+			if row.after == "" {
+				pause()
+			}
+			effects := b.reclaim(source, 2500*time.Millisecond)
+			if row.after != "" {
+				pause()
+				effects = b.reduce(Moved{Conn: conn, Attempt: d.Attempt, Outcome: row.after, Handle: "h1"})
+				effects = append(effects, b.reduce(Ended{Conn: conn, Attempt: d.Attempt, Result: ResultBroken, AnswerSent: true})...)
+			}
+			effects = append(effects, b.wait(900*time.Millisecond)...)
+			b.Assert(reachedBy(effects)[asking], qt.Equals, 0)
+
+			// When the pause is over, the stream goes on from its memory.
+			effects = b.wait(300 * time.Millisecond)
+			if row.after == "" {
+				_, moves := findMove(effects)
+				b.Assert(moves, qt.IsTrue)
+				return
+			}
+			b.Assert(b.dispatch(effects).From.Handle, qt.Equals, "h1")
+			b.Assert(b.dispatch(effects).Upstream.ID, qt.Equals, asking)
+		})
+	}
+}
+
+// TestPauseIsNotSetBack: neither what else is learned of an upstream nor a later, shorter pause
+// ends one early. A new process has not asked for any.
+func TestPauseIsNotSetBack(t *testing.T) {
+	for _, row := range []struct {
+		name   string
+		happen func(*bench)
+		ends   bool
+	}{
+		{"nothing", func(*bench) {}, false},
+		{"its entry is listed again", func(b *bench) { b.list(pausingUpstreams()...) }, false},
+		{"its entry is gone and back", func(b *bench) {
+			b.list(up("d2", "desk"))
+			b.list(pausingUpstreams()...)
+		}, false},
+		{"the store is restored from a copy", func(b *bench) {
+			b.restoreStore(1)
+			b.list(pausingUpstreams()...)
+		}, false},
+		{"an earlier request is answered", func(b *bench) {
+			// Sent before the pause, which it overtakes.
+			b.g.upstreams.RecordEnd(b.now, "d1", 99, placement.Succeeded)
+		}, false},
+		{"a shorter pause", func(b *bench) { b.g.upstreams.RecordPause(b.now, "d1", 100*time.Millisecond) }, false},
+		{"it says that it is brittle", func(b *bench) { b.g.upstreams.RecordBrittle(b.now, b.now, "d1", fourRejections) }, false},
+		{"it names a limit", func(b *bench) {
+			b.g.upstreams.RecordLimit(b.now, b.now, "d1", placement.RateLimit{Named: true, PerSecond: 50})
+		}, false},
+		{"peers report what they know", func(b *bench) { b.receive(reachingPeer("b")) }, false},
+		{"another configuration", func(b *bench) {
+			config := testConfig(2)
+			config.Teams[0].Rate = 0
+			b.reduce(ConfigRead{Config: config, Body: []byte("2"), Source: "store"})
+		}, false},
+		{"failures are taken back", func(b *bench) { b.g.withdrawBlame(b.now.Add(-time.Minute)) }, false},
+		{"a new process under its ID", func(b *bench) {
+			next := pausingUpstreams()
+			next[0].StartedAt = b.now
+			b.list(next...)
+		}, true},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			b := pausingBench(t)
+			b.wait(time.Second)
+			row.happen(b)
+			reached := 0
+			for range 12 {
+				_, effects := b.arrive("/book/2")
+				reached += reachedBy(effects)["d1"]
+			}
+			b.Assert(reached > 0, qt.Equals, row.ends)
+		})
+	}
+}
--- a/internal/tool/emulator/caller.go
+++ b/internal/tool/emulator/caller.go
@@ -145,12 +145,19 @@
 	}
 	s.oracle.arrived(s.now, u.Service, d.Attempt)
 	s.oracle.limit.arrived(s.now, node, u.ID)
+	s.oracle.arrivedInPause(s.now, node, u.ID)
+	pause := s.pauseOf(u)
 	switch {
 	case u.crashed:
 		s.after(messageLatency, func() {
 			s.attemptEnded(d.Conn, c, gateway.Ended{Result: gateway.ResultUnreachable, Connect: gateway.ConnectFailed})
 		})
 		return
+	case pause > 0:
+		s.oracle.pause.asked(s.now, node, u.ID, pause)
+		ended := gateway.Ended{Result: gateway.ResultFull, Connect: connect, Framing: gateway.FramingLength, Signals: gateway.Signals{Pause: pause}}
+		s.after(2*messageLatency, func() { s.attemptEnded(d.Conn, c, ended) })
+		return
 	case s.isFull(u), s.rng.Float64() < s.pattern.RefusedFraction:
 		ended := gateway.Ended{Result: gateway.ResultFull, Connect: connect, Framing: gateway.FramingLength, Signals: gateway.Signals{Brittle: s.brittleness(u)}}
 		s.turnedAway(u)
--- a/internal/tool/emulator/nodes.go
+++ b/internal/tool/emulator/nodes.go
@@ -62,6 +62,7 @@
 	s.startNodes(false)
 	// A new process has not had any answer yet.
 	clear(s.oracle.limit.named)
+	s.oracle.pause.forget()
 	for _, conn := range s.pendingConns() {
 		c := s.pending[conn]
 		delete(s.pending, conn)
--- a/internal/tool/emulator/oracle.go
+++ b/internal/tool/emulator/oracle.go
@@ -27,6 +27,7 @@
 	crashing             crashingOracle
 	limit                limitOracle
 	brittle              brittleOracle
+	pause                pauseOracle
 	violations           []string
 }
 
--- a/internal/tool/emulator/pattern.go
+++ b/internal/tool/emulator/pattern.go
@@ -66,6 +66,8 @@
 	Brittle *BrittleUpstreams
 	// Limits are the limits that upstreams name; nil for none.
 	Limits *UpstreamLimits
+	// Pausing are upstreams that ask for pauses; nil for none.
+	Pausing *PausingUpstreams
 	// RestartAt is when all nodes restart without state; zero is never.
 	RestartAt time.Duration
 }
--- a/internal/tool/emulator/run.go
+++ b/internal/tool/emulator/run.go
@@ -161,6 +161,7 @@
 	s.oracle = newOracle(defaultBounds, config.Teams)
 	s.oracle.limit = limitOracle{limits: pattern.Limits, arrivals: make(map[string][]limitedArrival), named: make(map[string]map[int]time.Time)}
 	s.oracle.brittle = brittleOracle{upstreams: pattern.Brittle, rejected: make(map[string][]time.Time)}
+	s.oracle.pause = pauseOracle{pauses: make(map[nodeUpstream][]*askedPause)}
 	s.oracle.crashing = crashingOracle{part: pattern.CrashingPart, begun: make(map[*caller]bool)}
 	s.routes = make(map[string]route.Route)
 	for _, r := range config.Routes {
