placement, gateway, run/gateway, http1, platform: nothing is sent to an upstream during a pause that it has asked for

Cause: nothing read Retry-After of an upstream's refusal. A refusal for want of room passed the upstream over for 200 ms, and not even that when all others were ejected. Class: a word of an upstream that nobody reads, as its limit, its leave and its brittleness before it.

Change: the pause is kept by the process that asked for it, as this node has received it. The last of several pauses counts; no other answer, entry of the store, report of a peer or configuration ends one, a new process has none, and one that is listed again after a gap still has it. Every way to an upstream asks one gate: Pick for first sends, the queue, retries, resumed streams, the last choice, new versions, targets of moves and requests of other nodes; Admits for the source of a move, a stopped run that continues, and probes. It is asked again when the connection is open, before anything is written: a request that was dispatched before the pause became known is withheld, goes back to the queue and counts as no retry. The call that moves a run goes the same way, over the same connections, and what its answer says of the source is read, too. A stopped run whose upstream pauses waits for the end of the pause, or resumes elsewhere if its route allows that.

--- a/internal/core/gateway/attempt.go
+++ b/internal/core/gateway/attempt.go
@@ -19,9 +19,9 @@
 	first := !r.began && r.runs == 0
 	r.began, r.beganAt = true, g.now
 	g.recordLife(r)
-	g.recordSignals(r, e.Signals)
+	g.recordSignals(r.upstream, r.dispatchedAt, e.Signals)
 	g.recordConnect(r, e.Connect)
-	g.upstreams.RecordPrefillDone(g.now, r.upstream, r.conn)
+	g.upstreams.RecordPrefillDone(g.now, r.upstream.ID, r.conn)
 	if r.move == nil && !r.continuesRun {
 		g.countStart(r)
 	}
@@ -31,9 +31,9 @@
 	if first && r.team != nil && r.relayed == nil {
 		g.usage.counter.Add(g.clusterTime(), r.team.Name)
 	}
-	g.logRequest(r, "begin", "answer began", "upstream", r.upstream, "attempt", r.attempt,
+	g.logRequest(r, "begin", "answer began", "upstream", r.upstream.ID, "attempt", r.attempt,
 		"age_ms", g.now.Sub(r.arrived).Milliseconds())
-	if u, ok := g.upstreams.Get(r.upstream); ok {
+	if u, ok := g.upstreams.Get(r.upstream.ID); ok {
 		g.evacuate(u)
 	}
 	g.dispatchQueue(g.queue(r.service))
@@ -58,9 +58,9 @@
 		return
 	}
 	g.recordConnect(r, e.Connect)
-	g.upstreams.RecordEnd(g.now, r.upstream, r.conn, g.placementOutcome(e.Result))
+	g.upstreams.RecordEnd(g.now, r.upstream.ID, r.conn, g.placementOutcome(e.Result))
 	if e.Load != nil {
-		g.upstreams.RecordReport(g.now, r.upstream, e.Load.Running+e.Load.Waiting)
+		g.upstreams.RecordReport(g.now, r.upstream.ID, e.Load.Running+e.Load.Waiting)
 	}
 	g.count(CountResult, string(e.Result))
 	if e.Framing != "" {
@@ -72,7 +72,7 @@
 	}
 	g.recordEnd(r, e)
 	if e.Framing != "" && !r.began && e.Result != ResultMisdirected {
-		g.recordSignals(r, e.Signals)
+		g.recordSignals(r.upstream, r.dispatchedAt, e.Signals)
 	}
 	r.phase = phaseWaiting
 	r.answerSent = r.answerSent || e.AnswerSent
@@ -84,6 +84,8 @@
 		delete(g.requests, r.conn)
 	case e.Result == ResultClosed:
 		g.afterClosed(r, e)
+	case e.Result == ResultWithheld:
+		g.afterWithheld(r)
 	case e.Result.NotRun():
 		g.afterNotRun(r, e)
 	default:
@@ -96,7 +98,7 @@
 // request shares with others, to find out whether it crashed the upstream.
 func (g *Gateway) logEnd(r *request, e Ended) {
 	inputs := []any{
-		"upstream", r.upstream, "attempt", r.attempt,
+		"upstream", r.upstream.ID, "attempt", r.attempt,
 		"age_ms", g.now.Sub(r.arrived).Milliseconds(), "detail", e.Detail,
 		"framing", string(e.Framing), "partial", e.PartialBytes, "connect", string(e.Connect),
 	}
@@ -145,10 +147,21 @@
 	}
 }
 
+// afterWithheld dispatches a request again that was not written because its upstream had asked
+// for a pause meanwhile. Nothing has reached an upstream, so it is no retry.
+func (g *Gateway) afterWithheld(r *request) {
+	g.upstreams.CancelReservation(g.now, r.upstream.ID)
+	if r.continuesRun {
+		g.continueRun(r, stoppedRun{upstream: r.upstream, from: r.from, ended: Ended{Result: ResultBroken}})
+		return
+	}
+	g.retry(r)
+}
+
 // afterNotRun retries a request that an upstream did not run, or refuses it.
 func (g *Gateway) afterNotRun(r *request, e Ended) {
 	r.notRun++
-	r.exclude = append(r.exclude, r.upstream)
+	r.exclude = append(r.exclude, r.upstream.ID)
 	if r.answerSent && !r.route.Resumable {
 		g.abort(r, ReasonFailed)
 		return
@@ -166,7 +179,7 @@
 // afterRun retries or ends a request that may have run without a good answer.
 func (g *Gateway) afterRun(r *request, e Ended) {
 	r.runs++
-	r.exclude = append(r.exclude, r.upstream)
+	r.exclude = append(r.exclude, r.upstream.ID)
 	retryable := r.route.Retryable() && r.runs < r.maxAttempts()
 	if r.answerSent && r.route.Kind != route.KindStreaming {
 		retryable = false
@@ -262,7 +275,7 @@
 // if the answer had not begun by the deadline.
 func (g *Gateway) markUnresponsive(r *request) {
 	if r.phase == phaseRunning && !r.began && !g.paths.lost {
-		g.upstreams.RecordEnd(g.now, r.upstream, r.conn, placement.ConnectionFailed)
+		g.upstreams.RecordEnd(g.now, r.upstream.ID, r.conn, placement.ConnectionFailed)
 	}
 }
 
--- a/internal/core/gateway/event.go
+++ b/internal/core/gateway/event.go
@@ -154,6 +154,8 @@
 	ResultRefused Result = "refused"
 	// ResultRelayRefused: the node that the request was passed on to refused it; not run.
 	ResultRelayRefused Result = "relay_refused"
+	// ResultWithheld: the upstream asked for a pause before the request was written; not run.
+	ResultWithheld Result = "withheld"
 	// ResultUnreachable: nothing was written on a connection; not run.
 	ResultUnreachable Result = "unreachable"
 	// ResultBroken: the connection broke after the request was written, or the
@@ -170,7 +172,7 @@
 func Results() []Result {
 	return []Result{
 		ResultComplete, ResultClosed, ResultErrored, ResultFull, ResultMisdirected, ResultRefused,
-		ResultRelayRefused, ResultUnreachable, ResultBroken, ResultMalformed, ResultAborted,
+		ResultRelayRefused, ResultWithheld, ResultUnreachable, ResultBroken, ResultMalformed, ResultAborted,
 	}
 }
 
@@ -178,7 +180,7 @@
 // not run the request.
 func (r Result) NotRun() bool {
 	switch r {
-	case ResultFull, ResultMisdirected, ResultRefused, ResultRelayRefused, ResultUnreachable:
+	case ResultFull, ResultMisdirected, ResultRefused, ResultRelayRefused, ResultWithheld, ResultUnreachable:
 		return true
 	default:
 		return false
@@ -192,6 +194,8 @@
 	Outcome MoveOutcome
 	// Handle identifies the KV cache of the stopped run.
 	Handle string
+	// Signals is what the source says of itself in its answer.
+	Signals Signals
 }
 
 // MoveOutcome is the outcome of moving a running request.
@@ -207,6 +211,9 @@
 	// MoveRefused: the run continues, because the target has no capacity for its
 	// KV cache.
 	MoveRefused MoveOutcome = "refused"
+	// MoveWithheld: the source asked for a pause before the call was written, so that the run
+	// continues.
+	MoveWithheld MoveOutcome = "withheld"
 	// MoveAbsent: the source has no such run.
 	MoveAbsent MoveOutcome = "absent"
 	// MoveUnknown: no answer arrived; the run may have stopped.
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -102,6 +102,9 @@
 	heldGeneration       int64
 	// drainingSince holds when each draining upstream was first seen draining.
 	drainingSince map[string]time.Time
+	// evacuateLater holds the draining engines whose streams could not be moved because of
+	// pauses, theirs or others'.
+	evacuateLater map[string]bool
 
 	leaves leaves
 	paths  paths
@@ -155,6 +158,7 @@
 		relaysAt:      make(map[string]int),
 		spread:        configSpread{receivers: make(map[string]time.Time)},
 		drainingSince: make(map[string]time.Time),
+		evacuateLater: make(map[string]bool),
 		leaves:        make(leaves),
 		paths:         paths{failed: make(map[string]failedUpstream), reached: make(map[uint64]time.Time)},
 		requests:      make(map[uint64]*request),
@@ -297,6 +301,7 @@
 	g.judge()
 	g.checkPaths()
 	g.refuseOverdue()
+	g.continueAfterPauses()
 	g.dispatchQueues()
 	g.checkRollouts()
 	g.sendDueStatuses()
@@ -315,6 +320,10 @@
 	g.prunePaths()
 }
 
+// Admits reports whether an upstream takes requests from this node at a time: it may have asked
+// for a pause since a request to it was dispatched.
+func (g *Gateway) Admits(now time.Time, u placement.Upstream) bool { return g.upstreams.Admits(now, u) }
+
 // Ready reports whether the node accepts new callers.
 func (g *Gateway) Ready() bool {
 	return g.table.Version() > 0 && g.upstreamsRead && g.rolloutsRead && !g.stopping
--- a/internal/core/gateway/move.go
+++ b/internal/core/gateway/move.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -32,6 +33,7 @@
 // move is the transfer of a running request to another engine.
 type move struct {
 	source, target placement.Upstream
+	startedAt      time.Time
 	// moved is the answer to the move, nil until it is received.
 	moved *Moved
 	// ended is the end of the stopped stream, nil until it is received.
@@ -63,10 +65,14 @@
 	if source.State != placement.StateDraining || !g.canCopyCache(source) {
 		return
 	}
+	if !g.upstreams.Admits(g.now, source) {
+		g.evacuateLater[source.ID] = true
+		return
+	}
 	openMoves := 0
 	var runs []*request
 	for _, r := range g.requests {
-		if r.upstream != source.ID || r.phase != phaseRunning {
+		if r.upstream.ID != source.ID || r.phase != phaseRunning {
 			continue
 		}
 		if r.move != nil && r.move.moved == nil {
@@ -121,9 +127,12 @@
 	query.Version, query.NotVersion = source.Version, ""
 	target, ok := g.upstreams.Pick(g.now, query)
 	if !ok {
+		if g.upstreams.CountPaused(g.now, r.service) > 0 {
+			g.evacuateLater[source.ID] = true
+		}
 		return false
 	}
-	r.move = &move{source: source, target: target}
+	r.move = &move{source: source, target: target, startedAt: g.now}
 	// The run's continuation is a request to the target, and the move one to the
 	// source.
 	g.upstreams.Reserve(g.now, target.ID)
@@ -144,6 +153,7 @@
 		return
 	}
 	source := r.move.source
+	g.recordSignals(source, r.move.startedAt, e.Signals)
 	switch {
 	case r.move.ended != nil:
 		r.move.moved = &e
@@ -152,6 +162,11 @@
 		r.exclude = append(r.exclude, r.move.target.ID)
 		g.upstreams.CancelReservation(g.now, r.move.target.ID)
 		r.move = nil
+	case e.Outcome == MoveWithheld:
+		g.upstreams.CancelReservation(g.now, r.move.target.ID)
+		g.upstreams.CancelReservation(g.now, source.ID)
+		r.move = nil
+		r.moveTries--
 	default:
 		r.move.moved = &e
 	}
@@ -180,18 +195,66 @@
 	r.move = nil
 	// The dispatch counts instead of the reservation, if there is one.
 	g.upstreams.CancelReservation(g.now, m.target.ID)
+	from := KVCache{Address: m.source.Address, Handle: m.moved.Handle}
 	switch m.moved.Outcome {
 	case MoveDone:
-		g.dispatchTo(r, m.target, KVCache{Address: m.source.Address, Handle: m.moved.Handle})
+		g.continueRun(r, stoppedRun{upstream: m.target, from: from, ended: *m.ended})
 	case MoveStopped:
-		g.dispatchTo(r, m.source, KVCache{Address: m.source.Address, Handle: m.moved.Handle})
-	case MoveRefused, MoveAbsent:
+		g.continueRun(r, stoppedRun{upstream: m.source, from: from, ended: *m.ended})
+	case MoveRefused, MoveWithheld, MoveAbsent:
 		g.afterStream(r, *m.ended)
 	case MoveUnknown:
 		g.afterRun(r, *m.ended)
 	}
 }
 
+// stoppedRun is a run that has been stopped to continue from its KV cache at an upstream.
+type stoppedRun struct {
+	upstream placement.Upstream
+	from     KVCache
+	// ended is the end of its stream.
+	ended Ended
+}
+
+// continueRun continues a stopped run. If the upstream has asked for a pause, a stream that can
+// be resumed elsewhere is; another one waits for the end of the pause if it may be served then.
+func (g *Gateway) continueRun(r *request, run stoppedRun) {
+	left := g.upstreams.PauseLeft(g.now, run.upstream)
+	switch {
+	case left == 0:
+		r.stopped = nil
+		g.dispatchTo(r, run.upstream, run.from)
+	case r.route.Retryable() || !g.now.Add(left).Before(r.deadline):
+		r.stopped = nil
+		g.afterRun(r, run.ended)
+	default:
+		r.stopped = &run
+		g.logRequest(r, "wait", "stopped run waits for a pause of its upstream to end", "upstream", run.upstream.ID, "left_ms", left.Milliseconds())
+	}
+}
+
+// continueAfterPauses moves runs and continues stopped ones whose upstreams' pauses are over.
+func (g *Gateway) continueAfterPauses() {
+	for _, id := range slices.Sorted(maps.Keys(g.evacuateLater)) {
+		delete(g.evacuateLater, id)
+		if u, known := g.upstreams.Get(id); known {
+			g.evacuate(u)
+		}
+	}
+	var stopped []*request
+	for _, r := range g.requests {
+		if r.stopped != nil {
+			stopped = append(stopped, r)
+		}
+	}
+	slices.SortFunc(stopped, byArrival)
+	for _, r := range stopped {
+		if g.upstreams.Admits(g.now, r.stopped.upstream) {
+			g.continueRun(r, *r.stopped)
+		}
+	}
+}
+
 // afterStream ends or retries a request whose stream ended although its move did
 // not stop it.
 func (g *Gateway) afterStream(r *request, e Ended) {
--- a/internal/core/gateway/paths.go
+++ b/internal/core/gateway/paths.go
@@ -65,7 +65,7 @@
 	case ConnectOpened:
 		g.connectOpened(r.process)
 	case ConnectFailed:
-		g.connectFailed(r.upstream)
+		g.connectFailed(r.upstream.ID)
 	}
 }
 
--- a/internal/core/gateway/paths_probe.go
+++ b/internal/core/gateway/paths_probe.go
@@ -76,7 +76,7 @@
 	}
 	for _, u := range g.upstreams.All() {
 		process := processID(u)
-		if slices.Contains(s.Unreached, process) && !g.hasReached(process, probeInterval) && g.isFirstReaching(u.ID) {
+		if slices.Contains(s.Unreached, process) && !g.hasReached(process, probeInterval) && g.Admits(g.now, u) && g.isFirstReaching(u.ID) {
 			g.paths.probeAt = g.now.Add(probeInterval)
 			g.emit(ProbeUpstream{Upstream: u})
 		}
@@ -114,7 +114,7 @@
 			return 0
 		}
 	}
-	list := g.upstreams.All()
+	list := slices.DeleteFunc(g.upstreams.All(), func(u placement.Upstream) bool { return !g.Admits(g.now, u) })
 	g.rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	slices.SortStableFunc(list, func(a, b placement.Upstream) int { return cmp.Compare(rank(a), rank(b)) })
 	for _, u := range list[:min(probedUpstreams, len(list))] {
--- a/internal/core/gateway/queue.go
+++ b/internal/core/gateway/queue.go
@@ -135,7 +135,7 @@
 func (g *Gateway) requeue(q *serviceQueue) {
 	var waiting []*request
 	for _, r := range g.requests {
-		if r.phase == phaseWaiting && r.move == nil && r.service == q.service {
+		if r.phase == phaseWaiting && !r.isBetweenRuns() && r.service == q.service {
 			waiting = append(waiting, r)
 		}
 	}
@@ -170,7 +170,7 @@
 func (g *Gateway) refuseWaiting(selected func(*request) bool, reason Reason, wait time.Duration) {
 	var list []*request
 	for _, r := range g.requests {
-		if r.phase == phaseWaiting && r.move == nil && selected(r) {
+		if r.phase == phaseWaiting && !r.isBetweenRuns() && selected(r) {
 			list = append(list, r)
 		}
 	}
--- a/internal/core/gateway/relay.go
+++ b/internal/core/gateway/relay.go
@@ -67,7 +67,7 @@
 	if m == nil || r.relayed != nil {
 		return false
 	}
-	r.phase, r.relay, r.upstream = phaseRunning, m.node, ""
+	r.phase, r.relay, r.upstream = phaseRunning, m.node, placement.Upstream{}
 	r.attempt++
 	r.relayTries++
 	r.began, r.dispatchedAt, r.process, r.move = false, g.now, 0, nil
--- a/internal/core/gateway/request.go
+++ b/internal/core/gateway/request.go
@@ -36,14 +36,17 @@
 	// cost is the number of units taken from the team's quota.
 	cost float64
 
-	attempt      int
-	upstream     string
+	attempt int
+	// upstream is the entry of the upstream of the current attempt, zero for one at another
+	// node.
+	upstream     placement.Upstream
 	began        bool
 	beganAt      time.Time
 	dispatchedAt time.Time
 	// continuesRun is set if the current attempt continues from the KV cache of
-	// a stopped run.
+	// a stopped run, from.
 	continuesRun bool
+	from         KVCache
 	counted      evidenceMark
 	// paced is set once the pace of the current attempt's stream is known.
 	paced bool
@@ -51,6 +54,8 @@
 	// there is none.
 	move      *move
 	moveTries int
+	// stopped is the run that waits to be continued, nil if there is none.
+	stopped *stoppedRun
 	// runs counts the failed attempts that may have run, notRun those that did
 	// not run. An attempt whose run continues in the next one counts in neither.
 	runs, notRun int
@@ -74,6 +79,10 @@
 	sound   bool
 }
 
+// isBetweenRuns reports whether a run of the request has been stopped, or is being, to continue
+// at another engine.
+func (r *request) isBetweenRuns() bool { return r.move != nil || r.stopped != nil }
+
 // urgency returns the request's priority at an upstream; 0 is the most urgent.
 // A team's priority takes precedence over the route's.
 func (r *request) urgency() int {
@@ -230,11 +239,11 @@
 func (g *Gateway) dispatchTo(r *request, u placement.Upstream, from KVCache) {
 	r.phase = phaseRunning
 	r.attempt++
-	r.upstream = u.ID
+	r.upstream = u
 	r.began, r.relay = false, ""
 	r.dispatchedAt = g.now
 	r.process, r.sound = processID(u), false
-	r.continuesRun, r.counted, r.paced = from != (KVCache{}), notCounted, false
+	r.continuesRun, r.from, r.counted, r.paced = from != (KVCache{}), from, notCounted, false
 	if r.attempt == 1 {
 		g.observe(TimeWaited, r)
 	}
@@ -244,7 +253,7 @@
 	if !engine {
 		prompt = placement.Prompt{}
 	}
-	load, pauseLeft := g.upstreams.Load(u.ID), g.upstreams.PauseLeft(g.now, u.ID)
+	load, pauseLeft := g.upstreams.Load(u.ID), g.upstreams.PauseLeft(g.now, u)
 	g.upstreams.RecordStart(g.now, u.ID, r.conn, prompt)
 	if from != (KVCache{}) {
 		g.upstreams.RecordCacheMove(u.ID, r.conn)
@@ -323,7 +332,7 @@
 
 func (g *Gateway) finish(r *request, reason Reason) {
 	g.count(CountRefusal, string(reason))
-	g.logRequest(r, "refuse", string(reason), "upstream", r.upstream, "attempt", r.attempt,
+	g.logRequest(r, "refuse", string(reason), "upstream", r.upstream.ID, "attempt", r.attempt,
 		"age_ms", g.now.Sub(r.arrived).Milliseconds(), "runs", r.runs, "turned", r.notRun)
 	if r.runs == 0 && r.phase == phaseWaiting {
 		g.refundQuota(r)
@@ -339,7 +348,7 @@
 	case r.relay != "":
 		g.endRelay(r)
 	default:
-		g.upstreams.RecordEnd(g.now, r.upstream, r.conn, placement.Neutral)
+		g.upstreams.RecordEnd(g.now, r.upstream.ID, r.conn, placement.Neutral)
 	}
 	delete(g.requests, r.conn)
 }
--- a/internal/core/gateway/rollout_evidence.go
+++ b/internal/core/gateway/rollout_evidence.go
@@ -59,7 +59,7 @@
 // nil if no rollout of the service is open.
 func (g *Gateway) evidence(r *request) *rollout.Evidence {
 	state := g.rollouts[r.service]
-	u, ok := g.upstreams.Get(r.upstream)
+	u, ok := g.upstreams.Get(r.upstream.ID)
 	switch {
 	case state == nil || !ok || !state.order.Open():
 		return nil
--- a/internal/core/gateway/signals.go
+++ b/internal/core/gateway/signals.go
@@ -1,19 +1,25 @@
 package gateway
 
-// recordSignals records what the upstream of the current attempt says of itself.
-func (g *Gateway) recordSignals(r *request, s Signals) {
-	if g.upstreams.RecordLimit(g.now, r.dispatchedAt, r.upstream, s.RateLimit) {
-		g.log("limit", "limit of upstream changed", "upstream", r.upstream, "named", s.RateLimit.Named, "per_s", s.RateLimit.PerSecond)
+import (
+	"time"
+
+	"monsoonlanding/internal/core/placement"
+)
+
+// recordSignals records what an upstream says of itself in its answer to an exchange that began
+// at a time.
+func (g *Gateway) recordSignals(u placement.Upstream, began time.Time, s Signals) {
+	if g.upstreams.RecordLimit(g.now, began, u.ID, s.RateLimit) {
+		g.log("limit", "limit of upstream changed", "upstream", u.ID, "named", s.RateLimit.Named, "per_s", s.RateLimit.PerSecond)
 	}
-	if g.upstreams.RecordBrittle(g.now, r.dispatchedAt, r.upstream, s.Brittle) {
-		g.log("limit", "brittleness of upstream changed", "upstream", r.upstream, "brittle", s.Brittle.Named, "rejections_per_s", s.Brittle.PerSecond)
+	if g.upstreams.RecordBrittle(g.now, began, u.ID, s.Brittle) {
+		g.log("limit", "brittleness of upstream changed", "upstream", u.ID, "brittle", s.Brittle.Named, "rejections_per_s", s.Brittle.PerSecond)
 	}
 	if s.Pause > 0 {
-		left := g.upstreams.RecordPause(g.now, r.upstream, s.Pause)
-		g.log("pause", "upstream asks for a pause", "upstream", r.upstream, "request", r.req.ID, "attempt", r.attempt,
-			"asked_ms", s.Pause.Milliseconds(), "left_ms", left.Milliseconds())
+		left := g.upstreams.RecordPause(g.now, u, s.Pause)
+		g.log("pause", "upstream asks for a pause", "upstream", u.ID, "asked_ms", s.Pause.Milliseconds(), "left_ms", left.Milliseconds())
 	}
 	if s.Leaving {
-		g.leaveAnnounced(r.process, g.cfg.Node)
+		g.leaveAnnounced(processID(u), g.cfg.Node)
 	}
 }
--- a/internal/core/placement/doc.go
+++ b/internal/core/placement/doc.go
@@ -23,6 +23,12 @@
 // which falls over if it must turn too many requests away, gets no more from each node than the
 // node's part of its slots.
 //
+// # Pauses
+//
+// An upstream that turns a request away may ask this node for a pause. Until its last pause
+// ends, nothing of this node goes there, also if all others are ejected. Pick keeps to that;
+// whoever sends without Pick asks Admits. A pause belongs to the process that asked for it.
+//
 // # Speed
 //
 // The prefill rate of a service's engines differs between deployments. It is
--- a/internal/core/placement/limit.go
+++ b/internal/core/placement/limit.go
@@ -74,9 +74,12 @@
 	}
 }
 
-// mayReceive reports whether the upstream's limit leaves room for a request of this
-// node now.
+// mayReceive reports whether the upstream takes requests from this node now, and its limit
+// leaves room for one.
 func (s *Set) mayReceive(now time.Time, m *member) bool {
+	if !s.Admits(now, m.Upstream) {
+		return false
+	}
 	if !m.limiter.limit.Named {
 		return true
 	}
--- a/internal/run/gateway/attempt.go
+++ b/internal/run/gateway/attempt.go
@@ -52,12 +52,7 @@
 // exchange sends the request, relays the answer and returns the result.
 func (h *handler) exchange(ctx context.Context, d core.Dispatch, remaining time.Duration) core.Ended {
 	h.stream.partialBytes = 0
-	address, request := d.Upstream.Address, h.upstreamRequest(d, remaining)
-	isRelay := d.Relay != core.Relay{}
-	if isRelay {
-		address, request = d.Relay.Address, h.relayRequest(d, remaining)
-	}
-	answer, err := h.runner.upstreams.Do(ctx, address, request)
+	answer, isRelay, err := h.send(ctx, d, remaining)
 	if err != nil {
 		return failedAttempt(err)
 	}
@@ -103,6 +98,16 @@
 	return ended
 }
 
+// send sends the request of an attempt to its upstream, or to the node that it is passed on to.
+func (h *handler) send(ctx context.Context, d core.Dispatch, remaining time.Duration) (answer *http1.Answer, isRelay bool, err error) {
+	if d.Relay != (core.Relay{}) {
+		answer, err = h.runner.pool.Do(ctx, d.Relay.Address, h.relayRequest(d, remaining))
+		return answer, true, err
+	}
+	answer, err = h.runner.exchange(ctx, d.Upstream, h.upstreamRequest(d, remaining))
+	return answer, false, err
+}
+
 // upstreamRequest returns the request for the upstream of an attempt.
 func (h *handler) upstreamRequest(d core.Dispatch, remaining time.Duration) *http1.Request {
 	return &http1.Request{
@@ -130,6 +135,8 @@
 		result = core.ResultAborted
 	case errors.Is(err, errMalformed), http1.Malformed(err):
 		result = core.ResultMalformed
+	case errors.Is(err, http1.ErrWithheld):
+		result = core.ResultWithheld
 	case !http1.Written(err):
 		result = core.ResultUnreachable
 	}
--- a/internal/run/gateway/execute.go
+++ b/internal/run/gateway/execute.go
@@ -54,7 +54,7 @@
 	case core.ProbeUpstream:
 		r.group.Go(func() { r.probe(e) })
 	case core.DropIdleConnections:
-		r.upstreams.CloseIdle()
+		r.pool.CloseIdle()
 	case core.PackConfig:
 		r.group.Go(func() { r.packConfig(e) })
 	case core.UnpackConfig:
@@ -117,7 +117,7 @@
 }
 
 func (r *Runner) move(e core.Move) {
-	moved, err := r.cfg.Services.MoveRun(r.ctx, e)
+	moved, err := r.cfg.Services.MoveRun(r.ctx, r.exchange, e)
 	if err != nil {
 		r.log.Warn().Str("step", "move").Str("request", e.Request).Str("source", e.Source.ID).Str("target", e.Target.ID).
 			Str("outcome", string(moved.Outcome)).Err(err).Msg("run not moved")
--- a/internal/run/gateway/protocol.go
+++ b/internal/run/gateway/protocol.go
@@ -108,6 +108,7 @@
 	// answer can't be decoded.
 	ReadQuarantine  func(ctx context.Context) (core.QuarantineRead, error)
 	WriteQuarantine func(ctx context.Context, e core.WriteQuarantine) error
-	MoveRun         func(ctx context.Context, m core.Move) (core.Moved, error)
-	OrderFleet      func(ctx context.Context, o fleet.Order, token int64) (fleet.Outcome, error)
+	// MoveRun calls the source of a move by the exchange.
+	MoveRun    func(ctx context.Context, exchange Exchange, m core.Move) (core.Moved, error)
+	OrderFleet func(ctx context.Context, o fleet.Order, token int64) (fleet.Outcome, error)
 }
--- a/internal/run/gateway/relay.go
+++ b/internal/run/gateway/relay.go
@@ -93,12 +93,3 @@
 		return relayhttp.OutcomeRefused
 	}
 }
-
-// probe opens a connection to an upstream and closes it.
-func (r *Runner) probe(e core.ProbeUpstream) {
-	err := r.upstreams.Probe(r.ctx, e.Upstream.Address)
-	if err != nil {
-		r.log.Debug().Str("step", "paths").Str("upstream", e.Upstream.ID).Err(err).Msg("upstream not reached")
-	}
-	r.submit(core.UpstreamProbed{Upstream: e.Upstream.ID, Connected: err == nil})
-}
--- a/internal/run/gateway/runner.go
+++ b/internal/run/gateway/runner.go
@@ -74,7 +74,9 @@
 	// relists holds the pending requests to list the feeds, by the feed's name.
 	relists map[core.FeedName]*relist
 
-	upstreams *http1.Pool
+	// pool holds the connections to upstreams and those for requests that are passed on to
+	// other nodes.
+	pool      *http1.Pool
 	peers     *peerws.Pool
 	servers   []*http.Server
 	listeners []net.Listener
@@ -98,12 +100,12 @@
 	s := cfg.Settings
 	start := cfg.Clock.Now().UnixNano()
 	r := &Runner{
-		cfg:       cfg,
-		log:       cfg.Log.With().Str("node", s.Name).Logger(),
-		handlers:  make(map[uint64]*handler),
-		drained:   make(chan struct{}),
-		relists:   make(map[core.FeedName]*relist),
-		upstreams: http1.New(http1.Config{Clock: cfg.Clock}),
+		cfg:      cfg,
+		log:      cfg.Log.With().Str("node", s.Name).Logger(),
+		handlers: make(map[uint64]*handler),
+		drained:  make(chan struct{}),
+		relists:  make(map[core.FeedName]*relist),
+		pool:     http1.New(http1.Config{Clock: cfg.Clock}),
 	}
 	for _, f := range cfg.Services.Feeds {
 		r.relists[f.Name] = &relist{}
@@ -256,7 +258,7 @@
 // closeIdle periodically closes idle connections to upstreams.
 func (r *Runner) closeIdle() {
 	for r.cfg.Clock.Sleep(r.ctx, idleCheckInterval) {
-		r.upstreams.CloseExpired()
+		r.pool.CloseExpired()
 	}
 }
 
--- a/internal/wire/http1/pool.go
+++ b/internal/wire/http1/pool.go
@@ -99,6 +99,10 @@
 	if err != nil {
 		return nil, &Error{Step: stepConnect, Peer: address, Err: err}
 	}
+	if r.Admit != nil && !r.Admit() {
+		p.putBack(c, r.MaxIdle)
+		return nil, &Error{Step: stepAdmit, Peer: address, Err: ErrWithheld}
+	}
 	a := &Answer{pool: p, conn: c, dialed: dialed, method: r.Method, maxIdle: r.MaxIdle}
 	// A deadline in the past interrupts pending reads and writes.
 	a.stop = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
@@ -142,13 +146,22 @@
 		return nil, err
 	}
 	limit := &limitedReader{reader: nc}
-	return &conn{Conn: nc, address: address, reader: bufio.NewReader(limit), limit: limit}, nil
+	return &conn{
+		Conn: nc, address: address, reader: bufio.NewReader(limit), limit: limit,
+		expires: p.cfg.Clock.Now().Add(defaultIdleTimeout),
+	}, nil
 }
 
 // put returns a connection to the pool, for at most idle, or closes it if there are
 // maxIdle for the upstream already; 0 means no such bound.
 func (p *Pool) put(c *conn, idle time.Duration, maxIdle int) {
 	c.expires = p.cfg.Clock.Now().Add(idle)
+	p.putBack(c, maxIdle)
+}
+
+// putBack returns a connection to the pool that has not been used since it was opened or taken
+// from it.
+func (p *Pool) putBack(c *conn, maxIdle int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if maxIdle > 0 && len(p.idle[c.address]) >= maxIdle {
--- a/internal/wire/http1/pool_test.go
+++ b/internal/wire/http1/pool_test.go
@@ -295,3 +295,38 @@
 	}
 	c.Assert(p.idle[server.address], qt.HasLen, 2)
 }
+
+// TestWithheldRequestIsNotWritten: a request that is not admitted when its connection is open
+// leaves the connection to the next one, also if it was just opened.
+func TestWithheldRequestIsNotWritten(t *testing.T) {
+	c := qt.New(t)
+	var served atomic.Int32
+	server := newServer(c, answerWith(func(*http.Request) string {
+		served.Add(1)
+		return okAnswer
+	}))
+	p := newPool()
+	send := func(admitted bool) error {
+		a, err := p.Do(context.Background(), server.address, &Request{
+			Method: "GET", Target: "/x", Host: "h", Header: http.Header{}, Admit: func() bool { return admitted },
+		})
+		if err != nil {
+			return err
+		}
+		defer a.Close()
+		_, err = io.ReadAll(a)
+		return err
+	}
+	for _, admitted := range []bool{false, false, true, false, true} {
+		err := send(admitted)
+		if admitted {
+			c.Assert(err, qt.IsNil)
+			continue
+		}
+		c.Assert(err, qt.ErrorIs, ErrWithheld)
+		c.Assert(Written(err), qt.IsFalse)
+		c.Assert(ConnectFailed(err), qt.IsFalse)
+	}
+	c.Assert(served.Load(), qt.Equals, int32(2))
+	c.Assert(server.conns.Load(), qt.Equals, int32(1))
+}
--- a/internal/wire/http1/request.go
+++ b/internal/wire/http1/request.go
@@ -18,6 +18,9 @@
 	// Header must not contain Content-Length, Host or connection headers.
 	Header http.Header
 	Body   []byte
+	// Admit is asked when the connection is open and nothing has been written yet. The
+	// exchange fails with ErrWithheld if it returns false. nil admits all requests.
+	Admit func() bool
 	// MaxIdle bounds the idle connections to the upstream after the exchange, 0 for
 	// no bound.
 	MaxIdle int
@@ -48,7 +51,7 @@
 
 // Error describes a failed exchange.
 type Error struct {
-	// Step is the step that failed: connect, write, head or body.
+	// Step is the step that failed: connect, admit, write, head or body.
 	Step string
 	// Peer is the upstream's address.
 	Peer string
@@ -75,6 +78,9 @@
 // stepConnect is the step of an Error of an exchange without a connection.
 const stepConnect = "connect"
 
+// stepAdmit is the step of an Error of an exchange that Request.Admit has ended.
+const stepAdmit = "admit"
+
 // ConnectFailed reports whether err shows that no connection could be opened.
 func ConnectFailed(err error) bool {
 	var e *Error
@@ -87,6 +93,10 @@
 	return errors.As(err, &e) && e.Malformed
 }
 
+// ErrWithheld is the cause of an exchange that Request.Admit has ended before the request was
+// written.
+var ErrWithheld = errors.New("request withheld before it was written")
+
 // countingWriter counts the bytes written to w.
 type countingWriter struct {
 	w       io.Writer
