gateway, placement: what an earlier process has said or done is not recorded of the next

Callers saw: an upstream that had started again under its ID got few requests where its former process had named a limit or was brittle: answers that were still under way were recorded by the ID.

Cause: signals and the outcomes of attempts are looked up by the upstream's ID, which another process may have by then. Found in looking for what else could end or pass on a pause.

Change: limit and brittleness count only for the process that named them, and an outcome only for the process that the attempt was sent to. A pause and a leave belonged to the process already.

Evidence: TestEarlierProcessSaysNothingOfTheNext, whose rows limit and brittle fail without the change.

--- a/internal/core/gateway/helper_test.go
+++ b/internal/core/gateway/helper_test.go
@@ -155,3 +155,12 @@
 func (b *bench) receive(s peer.Status) []Effect {
 	return b.reduce(PeerReceived{From: s.Node, Message: s})
 }
+
+// endRunning ends all running attempts with a result.
+func (b *bench) endRunning(result Result) []Effect {
+	var all []Effect
+	for _, r := range b.running() {
+		all = append(all, b.reduce(Ended{Conn: r.conn, Attempt: r.attempt, Result: result, Framing: FramingLength})...)
+	}
+	return all
+}
--- a/internal/core/gateway/pause_test.go
+++ b/internal/core/gateway/pause_test.go
@@ -98,7 +98,7 @@
 				_, effects := b.arrive("/read/2")
 				all = append(all, effects...)
 			}
-			return append(all, b.endAll(ResultComplete)...)
+			return append(all, b.endRunning(ResultComplete)...)
 		}},
 		{"retries after refusals", func(b *bench) []Effect {
 			return b.endAttemptIfSent("/read/2", Ended{Result: ResultFull, Framing: FramingLength})
@@ -114,7 +114,7 @@
 			for range 4 {
 				_, effects := b.arrive("/book/2")
 				all = append(all, effects...)
-				all = append(all, b.endAll(ResultUnreachable)...)
+				all = append(all, b.endRunning(ResultUnreachable)...)
 			}
 			return all
 		}},
@@ -143,7 +143,7 @@
 			for end := b.now.Add(askedPause - TickInterval); b.now.Before(end); {
 				reached := reachedBy(append(row.send(b), b.wait(TickInterval)...))
 				b.Assert(reached["d1"]+reached["m1"], qt.Equals, 0, qt.Commentf("%v before its end: %v", end.Sub(b.now), reached))
-				b.endAll(ResultComplete)
+				b.endRunning(ResultComplete)
 			}
 		})
 	}
--- a/internal/core/gateway/signals.go
+++ b/internal/core/gateway/signals.go
@@ -9,12 +9,6 @@
 // recordSignals records what an upstream says of itself in its answer to an exchange that began
 // at a time.
 func (g *Gateway) recordSignals(u placement.Upstream, began time.Time, s Signals) {
-	if g.upstreams.RecordLimit(g.now, began, u.ID, s.RateLimit) {
-		g.log("limit", "limit of upstream changed", "upstream", u.ID, "named", s.RateLimit.Named, "per_s", s.RateLimit.PerSecond)
-	}
-	if g.upstreams.RecordBrittle(g.now, began, u.ID, s.Brittle) {
-		g.log("limit", "brittleness of upstream changed", "upstream", u.ID, "brittle", s.Brittle.Named, "rejections_per_s", s.Brittle.PerSecond)
-	}
 	if s.Pause > 0 {
 		left := g.upstreams.RecordPause(g.now, u, s.Pause)
 		g.log("pause", "upstream asks for a pause", "upstream", u.ID, "asked_ms", s.Pause.Milliseconds(), "left_ms", left.Milliseconds())
@@ -22,4 +16,14 @@
 	if s.Leaving {
 		g.leaveAnnounced(processID(u), g.cfg.Node)
 	}
+	if current, ok := g.upstreams.Get(u.ID); !ok || processID(current) != processID(u) {
+		// Another process has taken its place, of which it says nothing.
+		return
+	}
+	if g.upstreams.RecordLimit(g.now, began, u.ID, s.RateLimit) {
+		g.log("limit", "limit of upstream changed", "upstream", u.ID, "named", s.RateLimit.Named, "per_s", s.RateLimit.PerSecond)
+	}
+	if g.upstreams.RecordBrittle(g.now, began, u.ID, s.Brittle) {
+		g.log("limit", "brittleness of upstream changed", "upstream", u.ID, "brittle", s.Brittle.Named, "rejections_per_s", s.Brittle.PerSecond)
+	}
 }
--- a/internal/core/placement/health.go
+++ b/internal/core/placement/health.go
@@ -19,10 +19,11 @@
 )
 
 // RecordEnd removes the request from the upstream's load and updates the upstream's
-// health by its outcome.
+// health by its outcome. One that was sent to an earlier process under the same ID says nothing
+// of this one.
 func (s *Set) RecordEnd(now time.Time, id string, request uint64, outcome Outcome) {
 	m := s.members[id]
-	if m == nil {
+	if m == nil || m.running[request] == nil {
 		return
 	}
 	delete(m.running, request)
