--- /dev/null
+++ b/internal/core/gateway/pause_load_test.go
@@ -0,0 +1,167 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// pauseAll has all upstreams of the plain service ask for a pause.
+func (b *bench) pauseAll(pause time.Duration) {
+	for _, u := range b.g.upstreams.All() {
+		if u.Service == "desk" {
+			b.g.recordSignals(u, b.now, Signals{Pause: pause})
+		}
+	}
+}
+
+// findRefusal returns the Refuse among the effects.
+func findRefusal(effects []Effect) (Refuse, bool) {
+	for _, e := range effects {
+		if r, ok := e.(Refuse); ok {
+			return r, true
+		}
+	}
+	return Refuse{}, false
+}
+
+// TestCallersAreToldTheEndOfPauses: while all upstreams of a service wanted no requests, callers
+// waited to be refused, with a delay that led back into the same pauses. One whose request can't
+// begin in time is refused at once and told when it can; one that can waits.
+func TestCallersAreToldTheEndOfPauses(t *testing.T) {
+	newPausedBench := func(t *testing.T) *bench {
+		b := newBench(t, "a")
+		b.ready(up("d1", "desk"), up("d2", "desk"), up("m1", "model"))
+		b.g.table.Teams()[0].Rate = 0
+		return b
+	}
+	t.Run("a request that arrives", func(t *testing.T) {
+		b := newPausedBench(t)
+		b.pauseAll(3 * time.Second)
+		b.wait(time.Second)
+		for range 20 {
+			_, effects := b.arrive("/book/1")
+			r, refused := findRefusal(effects)
+			b.Assert(refused, qt.IsTrue)
+			b.Assert(r.RetryAfter >= 2*time.Second, qt.IsTrue, qt.Commentf("%v", r.RetryAfter))
+			b.Assert(r.RetryAfter <= 3*time.Second, qt.IsTrue, qt.Commentf("%v", r.RetryAfter))
+		}
+		_, effects := b.arrive("/plan/1")
+		b.Assert(b.dispatch(effects).Upstream.ID, qt.Equals, "m1")
+		b.wait(2 * time.Second)
+		_, effects = b.arrive("/book/1")
+		b.Assert(has(Dispatch{}, effects), qt.IsTrue)
+	})
+	t.Run("requests that wait", func(t *testing.T) {
+		b := newPausedBench(t)
+		for range 30 {
+			b.arrive("/book/1")
+		}
+		b.pauseAll(3 * time.Second)
+		b.Assert(len(b.g.requests), qt.Equals, len(b.running()))
+	})
+	t.Run("a request that is turned away", func(t *testing.T) {
+		b := newPausedBench(t)
+		conn, effects := b.arrive("/book/1")
+		d := b.dispatch(effects)
+		effects = b.reduce(Ended{Conn: conn, Attempt: d.Attempt, Result: ResultFull, Framing: FramingLength, Signals: Signals{Pause: 3 * time.Second}})
+		d = b.dispatch(effects)
+		effects = b.reduce(Ended{Conn: conn, Attempt: d.Attempt, Result: ResultFull, Framing: FramingLength, Signals: Signals{Pause: 2 * time.Second}})
+		r, refused := findRefusal(effects)
+		b.Assert(refused, qt.IsTrue)
+		b.Assert(r.RetryAfter >= 2*time.Second, qt.IsTrue, qt.Commentf("%v", r.RetryAfter))
+	})
+	t.Run("a pause that ends in time", func(t *testing.T) {
+		b := newPausedBench(t)
+		b.pauseAll(50 * time.Millisecond)
+		_, effects := b.arrive("/book/1")
+		b.Assert(refusal(effects), qt.Equals, Reason(""))
+		b.Assert(has(Dispatch{}, b.wait(TickInterval)), qt.IsTrue)
+	})
+	t.Run("a longer pause while a request waits", func(t *testing.T) {
+		b := newPausedBench(t)
+		b.pauseAll(50 * time.Millisecond)
+		b.arrive("/book/1")
+		b.pauseAll(3 * time.Second)
+		b.Assert(b.g.requests, qt.HasLen, 0)
+	})
+	t.Run("one upstream takes requests", func(t *testing.T) {
+		b := newPausedBench(t)
+		b.g.recordSignals(up("d1", "desk"), b.now, Signals{Pause: 3 * time.Second})
+		for range 12 {
+			_, effects := b.arrive("/book/1")
+			b.Assert(b.dispatch(effects).Upstream.ID, qt.Equals, "d2")
+		}
+		_, effects := b.arrive("/book/1")
+		b.Assert(refusal(effects), qt.Equals, Reason(""))
+	})
+}
+
+// TestOneRequestTriesUpstreamAfterPause: all that waited was sent to an upstream the moment that
+// its pause ended, and turned away again. One request goes first; the others follow when an answer
+// to it shows that the upstream takes them.
+func TestOneRequestTriesUpstreamAfterPause(t *testing.T) {
+	for _, row := range []struct {
+		name string
+		// end is what becomes of the first request.
+		end func(b *bench, conn uint64, attempt int)
+		// dispatched is the number of further requests that are then sent at once.
+		dispatched int
+	}{
+		{"nothing yet", func(*bench, uint64, int) {}, 0},
+		{"its answer begins", func(b *bench, conn uint64, attempt int) {
+			b.reduce(Began{Conn: conn, Attempt: attempt})
+		}, 5},
+		{"it is complete", func(b *bench, conn uint64, attempt int) {
+			b.reduce(Ended{Conn: conn, Attempt: attempt, Result: ResultComplete, Framing: FramingLength})
+		}, 5},
+		{"the upstream's own error", func(b *bench, conn uint64, attempt int) {
+			b.reduce(Ended{Conn: conn, Attempt: attempt, Result: ResultErrored, Framing: FramingLength})
+		}, 5},
+		{"turned away with another pause", func(b *bench, conn uint64, attempt int) {
+			b.reduce(Ended{Conn: conn, Attempt: attempt, Result: ResultFull, Framing: FramingLength, Signals: Signals{Pause: 3 * time.Second}})
+		}, 0},
+		{"its connection fails", func(b *bench, conn uint64, attempt int) {
+			b.reduce(Ended{Conn: conn, Attempt: attempt, Result: ResultBroken})
+		}, 1},
+		{"its caller leaves", func(b *bench, conn uint64, _ int) {
+			b.reduce(HandlerEnded{Conn: conn, Disconnected: true})
+		}, 1},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			b := newBench(t, "a")
+			b.ready(up("d1", "desk"))
+			b.g.table.Teams()[0].Rate = 0
+			b.pauseAll(time.Second)
+			b.wait(time.Second)
+			conn, effects := b.arrive("/book/1")
+			d := b.dispatch(effects)
+			row.end(b, conn, d.Attempt)
+			dispatched := 0
+			for i := range 5 {
+				_, effects := b.arrive(fmt.Sprint("/book/", i))
+				dispatched += sentTo(effects)["d1"]
+			}
+			b.Assert(dispatched, qt.Equals, row.dispatched)
+		})
+	}
+}
+
+// TestEarlierAnswerIsNoTrial: an answer to a request that was sent before the pause does not show
+// that the upstream takes requests after it.
+func TestEarlierAnswerIsNoTrial(t *testing.T) {
+	b := newBench(t, "a")
+	b.ready(up("d1", "desk"))
+	b.g.table.Teams()[0].Rate = 0
+	earlier, effects := b.arrive("/book/1")
+	d := b.dispatch(effects)
+	b.pauseAll(300 * time.Millisecond)
+	b.wait(300 * time.Millisecond)
+	_, effects = b.arrive("/book/2")
+	b.dispatch(effects)
+	b.reduce(Ended{Conn: earlier, Attempt: d.Attempt, Result: ResultComplete, Framing: FramingLength})
+	_, effects = b.arrive("/book/3")
+	b.Assert(has(Dispatch{}, effects), qt.IsFalse)
+}
--- a/internal/tool/emulator/caller.go
+++ b/internal/tool/emulator/caller.go
@@ -312,7 +312,11 @@
 	if reason == gateway.ReasonSuspect && c.breaks < breaksOfSuspect {
 		s.report.WronglySuspected++
 	}
-	s.report.MaxRefusalDelay = max(s.report.MaxRefusalDelay, float64(s.now.Sub(c.submitted))/float64(c.kind.LatencyGoal))
+	delay := float64(s.now.Sub(c.submitted)) / float64(c.kind.LatencyGoal)
+	s.report.MaxRefusalDelay = max(s.report.MaxRefusalDelay, delay)
+	if s.allPause(s.routes[c.kind.Route].Targets[0].Service) {
+		s.report.MaxRefusalDelayInPause = max(s.report.MaxRefusalDelayInPause, delay)
+	}
 	if reason == gateway.ReasonOverload && s.hasCapacity(c) {
 		s.report.RefusedWithCapacity++
 	}
--- a/internal/tool/emulator/pause.go
+++ b/internal/tool/emulator/pause.go
@@ -25,6 +25,13 @@
 	return p.Pause
 }
 
+// allPause reports whether all upstreams of a service ask for pauses now.
+func (s *simulation) allPause(service string) bool {
+	return !slices.ContainsFunc(s.upstreams, func(u *upstream) bool {
+		return u.Service == service && !u.crashed && s.pauseOf(u) == 0
+	})
+}
+
 const (
 	// pauseGrace is the time after a refusal from which on its pause counts, and maxInPause
 	// the number of requests that may come within it, by the users' rules.
--- a/internal/tool/emulator/pause_test.go
+++ b/internal/tool/emulator/pause_test.go
@@ -51,3 +51,52 @@
 		})
 	}
 }
+
+// TestPausesUnderLoad: upstreams asked for pauses while callers pressed (BUDGET, second1). Where
+// nothing takes requests, callers are refused within an eighth of their latency goal, from which
+// on the users charge a refusal as late, and are told to come back when something does.
+func TestPausesUnderLoad(t *testing.T) {
+	press := func(at time.Duration, _ string) float64 {
+		if at >= 7*time.Second && at < 12*time.Second {
+			return 2
+		}
+		return 1
+	}
+	for _, row := range []struct {
+		name   string
+		change func(*Setup, *Pattern)
+		// all is set if nothing takes requests.
+		all bool
+	}{
+		{"a third of the engines", func(*Setup, *Pattern) {}, false},
+		{"a third, long pauses", func(_ *Setup, p *Pattern) { p.Pausing.Pause = 8 * time.Second }, false},
+		{"a third, short pauses", func(_ *Setup, p *Pattern) { p.Pausing.Pause = 700 * time.Millisecond }, false},
+		{"a third, eager retries", func(_ *Setup, p *Pattern) { p.CallerRetries = 3 }, false},
+		{"a third, callers at few nodes", func(_ *Setup, p *Pattern) { p.PickNode = Shift().PickNode }, false},
+		{"all engines", func(_ *Setup, p *Pattern) { p.Pausing.Upstreams = engineIDs(12) }, true},
+		{"all upstreams", func(_ *Setup, p *Pattern) {
+			p.Pausing.Upstreams = append(engineIDs(12), "plain-0", "plain-1", "plain-2")
+		}, true},
+		{"all upstreams, one node", func(s *Setup, p *Pattern) {
+			s.Nodes, p.Pausing.Upstreams = 1, append(engineIDs(12), "plain-0", "plain-1", "plain-2")
+		}, true},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			for seed := range *plays {
+				setup := DefaultSetup(seed + 1)
+				setup.Engines = 12
+				p := pausing(Steady(), engineIDs(4)...)
+				p.RateFactor, p.Pausing.From, p.Pausing.To = press, 6*time.Second, 13*time.Second
+				row.change(&setup, &p)
+				r := Run(setup, p)
+				comment := qt.Commentf("seed %d: refused after %.2f of the goal", seed+1, r.MaxRefusalDelayInPause)
+				c.Check(r.Violations, qt.HasLen, 0, comment)
+				if row.all {
+					c.Check(r.MaxRefusalDelayInPause <= 0.125, qt.IsTrue, comment)
+				}
+			}
+		})
+	}
+}
--- a/internal/tool/emulator/report.go
+++ b/internal/tool/emulator/report.go
@@ -17,6 +17,9 @@
 	// MaxRefusalDelay is the longest time from a submission to its refusal, as
 	// a fraction of the latency goal.
 	MaxRefusalDelay float64
+	// MaxRefusalDelayInPause is the same for refusals while all upstreams of the service ask
+	// for pauses.
+	MaxRefusalDelayInPause float64
 	// Prefilled counts the prompt tokens that engines prefilled, Recomputed
 	// those of shared parts that this engine or another had prefilled before.
 	Prefilled, Recomputed int
