placement, gateway: what pauses of upstreams take away is counted, and one request tries an upstream after its pause

Cause: admission counted on upstreams that wanted no requests, and all that waited was sent the moment that a pause ended. Class: what an upstream says of itself limits the sends only, not what is promised to callers on it.

Change: if all upstreams that are ready have asked this node for pauses, callers are refused at once, those that wait as well, with the reason paused and the time until the first pause ends; a stream that has begun waits for that, if its deadline allows it. After a pause one request is on trial; an answer to it that asks for no other pause lets the rest follow, one that was sent before the pause does not. If the trial ends without an answer, the next request is tried. Upstreams in a pause don't count as usable where limits and slots are shared.

Weighed: requests that wait for the end of a pause, for half of the goal, an eighth or a sixteenth of it.

--- a/internal/core/gateway/attempt.go
+++ b/internal/core/gateway/attempt.go
@@ -19,6 +19,7 @@
 	first := !r.began && r.runs == 0
 	r.began, r.beganAt = true, g.now
 	g.recordLife(r)
+	g.recordAnswer(r, e.Signals)
 	g.recordSignals(r.upstream, r.dispatchedAt, e.Signals)
 	g.recordConnect(r, e.Connect)
 	g.upstreams.RecordPrefillDone(g.now, r.upstream.ID, r.conn)
@@ -58,6 +59,9 @@
 		return
 	}
 	g.recordConnect(r, e.Connect)
+	if e.Framing != "" && e.Result != ResultMisdirected {
+		g.recordAnswer(r, e.Signals)
+	}
 	g.upstreams.RecordEnd(g.now, r.upstream.ID, r.conn, g.placementOutcome(e.Result))
 	if e.Load != nil {
 		g.upstreams.RecordReport(g.now, r.upstream.ID, e.Load.Running+e.Load.Waiting)
@@ -170,7 +174,7 @@
 		return
 	}
 	if r.notRun > maxNotRunRetries || !g.allowRetryAfter(r, e) {
-		g.refuse(r, ReasonNotRun, g.retryAfter(minRetryAfter))
+		g.refuse(r, ReasonNotRun, g.retryAfter(max(g.upstreams.Resumes(g.now, r.service), minRetryAfter)))
 		return
 	}
 	g.retry(r)
--- a/internal/core/gateway/effect.go
+++ b/internal/core/gateway/effect.go
@@ -262,6 +262,8 @@
 	ReasonNoUpstream Reason = "no_upstream"
 	// ReasonOverload: the request could not begin in time.
 	ReasonOverload Reason = "overload"
+	// ReasonPaused: all upstreams of the service have asked for pauses.
+	ReasonPaused Reason = "paused"
 	// ReasonStopping: the node is shutting down.
 	ReasonStopping Reason = "stopping"
 	// ReasonNotRun: upstreams refused the request and no retry is left.
@@ -285,7 +287,7 @@
 func Reasons() []Reason {
 	return []Reason{
 		ReasonNoConfig, ReasonNoRoute, ReasonBadKey, ReasonQuota, ReasonNoUpstream,
-		ReasonOverload, ReasonStopping, ReasonNotRun, ReasonTimeout, ReasonSuspect,
+		ReasonOverload, ReasonPaused, ReasonStopping, ReasonNotRun, ReasonTimeout, ReasonSuspect,
 		ReasonDeadlineExceeded, ReasonFailed, ReasonBadRequest, ReasonTooLarge,
 	}
 }
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -320,10 +320,6 @@
 	g.prunePaths()
 }
 
-// Admits reports whether an upstream takes requests from this node at a time: it may have asked
-// for a pause since a request to it was dispatched.
-func (g *Gateway) Admits(now time.Time, u placement.Upstream) bool { return g.upstreams.Admits(now, u) }
-
 // Ready reports whether the node accepts new callers.
 func (g *Gateway) Ready() bool {
 	return g.table.Version() > 0 && g.upstreamsRead && g.rolloutsRead && !g.stopping
--- a/internal/core/gateway/queue.go
+++ b/internal/core/gateway/queue.go
@@ -62,6 +62,10 @@
 		g.refuse(r, ReasonNoUpstream, g.retryAfter(time.Second))
 		return
 	}
+	if g.isPausedTooLong(r) {
+		g.refuse(r, ReasonPaused, g.retryAfter(max(g.upstreams.Resumes(g.now, r.service), minRetryAfter)))
+		return
+	}
 	if ready, usable := g.upstreams.Usable(g.now, r.service, g.slots(r.service)); len(usable) == 0 && !r.answerSent {
 		// Other nodes use the limits, or the slots of brittle upstreams.
 		if !g.passOnToSharer(r, ready) {
--- a/internal/core/gateway/signals.go
+++ b/internal/core/gateway/signals.go
@@ -12,6 +12,7 @@
 	if s.Pause > 0 {
 		left := g.upstreams.RecordPause(g.now, u, s.Pause)
 		g.log("pause", "upstream asks for a pause", "upstream", u.ID, "asked_ms", s.Pause.Milliseconds(), "left_ms", left.Milliseconds())
+		g.refusePaused(u.Service)
 	}
 	if s.Leaving {
 		g.leaveAnnounced(processID(u), g.cfg.Node)
--- a/internal/core/placement/doc.go
+++ b/internal/core/placement/doc.go
@@ -27,7 +27,8 @@
 //
 // An upstream that turns a request away may ask this node for a pause. Until its last pause
 // ends, nothing of this node goes there, also if all others are ejected. Pick keeps to that;
-// whoever sends without Pick asks Admits. A pause belongs to the process that asked for it.
+// whoever sends without Pick asks Admits. A pause belongs to the process that asked for it. After
+// it one request is on trial, until an answer to it shows that the upstream takes requests.
 //
 // # Speed
 //
--- a/internal/core/placement/health.go
+++ b/internal/core/placement/health.go
@@ -27,6 +27,7 @@
 		return
 	}
 	delete(m.running, request)
+	s.endTrial(m, request)
 	m.recordOutcome(now, outcome)
 }
 
--- a/internal/core/placement/limit.go
+++ b/internal/core/placement/limit.go
@@ -77,7 +77,7 @@
 // mayReceive reports whether the upstream takes requests from this node now, and its limit
 // leaves room for one.
 func (s *Set) mayReceive(now time.Time, m *member) bool {
-	if !s.Admits(now, m.Upstream) {
+	if !s.Admits(now, m.Upstream) || s.onTrial(m) {
 		return false
 	}
 	if !m.limiter.limit.Named {
@@ -110,12 +110,12 @@
 	}
 }
 
-// Usable returns the upstreams of a service that accept new requests, in order of ID, with
-// those among them that leave this node a share of their limit or, if they are brittle, of
+// Usable returns the upstreams of a service that take requests from this node, in order of ID,
+// with those among them that leave this node a share of their limit or, if they are brittle, of
 // their slots. slots is the number of an engine's slots, 0 for plain services.
 func (s *Set) Usable(now time.Time, service string, slots int) (ready, usable []Shared) {
 	for _, m := range s.sorted {
-		if m.Service != service || m.State != StateReady {
+		if m.Service != service || m.State != StateReady || !s.Admits(now, m.Upstream) {
 			continue
 		}
 		shared := Shared{ID: m.ID, Limit: m.limiter.limit}
--- a/internal/core/placement/load.go
+++ b/internal/core/placement/load.go
@@ -70,6 +70,7 @@
 		return
 	}
 	m.placed++
+	s.startTrial(m, request)
 	s.spend(now, m, 1)
 	load := m.load()
 	uncached := max(p.InputTokens-m.cached(now, p), 0)
--- a/internal/core/placement/pause.go
+++ b/internal/core/placement/pause.go
@@ -2,8 +2,13 @@
 
 import "time"
 
-// maxPause bounds the pause that an upstream may ask for.
-const maxPause = 10 * time.Minute
+const (
+	// maxPause bounds the pause that an upstream may ask for.
+	maxPause = 10 * time.Minute
+	// trialRetention is the time after a pause after which the upstream counts as any other,
+	// although no request has been sent to it since.
+	trialRetention = time.Minute
+)
 
 // process identifies the process of an upstream.
 type process struct {
@@ -13,10 +18,14 @@
 
 func processOf(u Upstream) process { return process{id: u.ID, startedAt: u.StartedAt.UnixNano()} }
 
-// pause is the time for which a process of an upstream wants no requests from this node.
+// pause is the time for which a process of an upstream wants no requests from this node, and
+// the trial that follows it: one request at a time, until an answer to one shows that the process
+// takes requests.
 type pause struct {
-	// until is when it ends.
+	// until is when the pause ends and the trial begins.
 	until time.Time
+	// trial is the request on trial, 0 if there is none.
+	trial uint64
 }
 
 // RecordPause records that the process of an upstream has asked this node for a pause in an
@@ -29,7 +38,7 @@
 		s.pauses[processOf(u)] = p
 	}
 	if until := now.Add(min(asked, maxPause)); until.After(p.until) {
-		p.until = until
+		p.until, p.trial = until, 0
 	}
 	return s.PauseLeft(now, u)
 }
@@ -51,6 +60,56 @@
 	return p == nil || !now.Before(p.until)
 }
 
+// onTrial reports whether an upstream's pause is over and another request is on trial there.
+func (s *Set) onTrial(m *member) bool {
+	p := s.pauses[processOf(m.Upstream)]
+	return p != nil && p.trial != 0
+}
+
+// startTrial puts a request on trial that is sent to an upstream after its pause.
+func (s *Set) startTrial(m *member, request uint64) {
+	if p := s.pauses[processOf(m.Upstream)]; p != nil && p.trial == 0 {
+		p.trial = request
+	}
+}
+
+// endTrial ends the trial of a request without an answer. The next request is on trial.
+func (s *Set) endTrial(m *member, request uint64) {
+	if p := s.pauses[processOf(m.Upstream)]; p != nil && p.trial == request {
+		p.trial = 0
+	}
+}
+
+// RecordAnswer records that the process of an upstream has answered a request without asking for
+// a pause, and reports whether that ends its trial.
+func (s *Set) RecordAnswer(now time.Time, u Upstream, request uint64) (ended bool) {
+	p := s.pauses[processOf(u)]
+	if p == nil || p.trial != request || now.Before(p.until) {
+		return false
+	}
+	delete(s.pauses, processOf(u))
+	return true
+}
+
+// Resumes returns the time until the first of a service's upstreams takes requests again, 0 if one
+// that is ready does so now, or none is ready.
+func (s *Set) Resumes(now time.Time, service string) time.Duration {
+	var first time.Duration
+	for _, m := range s.sorted {
+		if m.Service != service || m.State != StateReady {
+			continue
+		}
+		left := s.PauseLeft(now, m.Upstream)
+		if left == 0 {
+			return 0
+		}
+		if first == 0 || left < first {
+			first = left
+		}
+	}
+	return first
+}
+
 // CountPaused returns the number of upstreams of a service that want no requests from this node.
 func (s *Set) CountPaused(now time.Time, service string) int {
 	n := 0
@@ -62,10 +121,10 @@
 	return n
 }
 
-// expirePauses removes the pauses that have ended.
+// expirePauses removes the pauses that ended long ago.
 func (s *Set) expirePauses(now time.Time) {
 	for process, p := range s.pauses {
-		if !now.Before(p.until) {
+		if now.Sub(p.until) >= trialRetention {
 			delete(s.pauses, process)
 		}
 	}
--- a/internal/tool/emulator/caller.go
+++ b/internal/tool/emulator/caller.go
@@ -114,7 +114,7 @@
 func (s *simulation) submit(c *caller) {
 	s.lastConn++
 	conn := s.lastConn
-	c.submitted = s.now
+	c.submitted, c.attempt = s.now, 0
 	c.request.ID = fmt.Sprint("request-", conn)
 	s.pending[conn] = c
 	s.oracle.submitted(s.now, s.routes[c.kind.Route].Targets[0].Service)
@@ -314,7 +314,7 @@
 	}
 	delay := float64(s.now.Sub(c.submitted)) / float64(c.kind.LatencyGoal)
 	s.report.MaxRefusalDelay = max(s.report.MaxRefusalDelay, delay)
-	if s.allPause(s.routes[c.kind.Route].Targets[0].Service) {
+	if c.attempt == 0 && s.allPause(s.routes[c.kind.Route].Targets[0].Service) {
 		s.report.MaxRefusalDelayInPause = max(s.report.MaxRefusalDelayInPause, delay)
 	}
 	if reason == gateway.ReasonOverload && s.hasCapacity(c) {
--- a/internal/tool/emulator/report.go
+++ b/internal/tool/emulator/report.go
@@ -18,7 +18,7 @@
 	// a fraction of the latency goal.
 	MaxRefusalDelay float64
 	// MaxRefusalDelayInPause is the same for refusals while all upstreams of the service ask
-	// for pauses.
+	// for pauses, of requests that none of them has been offered.
 	MaxRefusalDelayInPause float64
 	// Prefilled counts the prompt tokens that engines prefilled, Recomputed
 	// those of shared parts that this engine or another had prefilled before.
