gateway, placement: a request is drawn to a version once for each attempt

Callers saw: nothing yet; a new version could get several times its share of the requests while the old one was full (EXPOSURE), and pauses of the old version would do the same.

Cause: the version was drawn each time that a request was placed, which for the first of those that wait is at each event. Found in asking what pauses do to verdicts and shares.

Change: drawn once for each attempt. A request that is drawn to the new version and finds no room there goes to the old one, instead of being drawn again. Pauses of the old version refuse what is not drawn to the new one.

--- a/internal/core/gateway/attempt.go
+++ b/internal/core/gateway/attempt.go
@@ -174,7 +174,7 @@
 		return
 	}
 	if r.notRun > maxNotRunRetries || !g.allowRetryAfter(r, e) {
-		g.refuse(r, ReasonNotRun, g.retryAfter(max(g.upstreams.Resumes(g.now, r.service), minRetryAfter)))
+		g.refuse(r, ReasonNotRun, g.retryAfter(max(g.resumes(r), minRetryAfter)))
 		return
 	}
 	g.retry(r)
--- a/internal/core/gateway/pause.go
+++ b/internal/core/gateway/pause.go
@@ -14,20 +14,33 @@
 	}
 }
 
-// isPausedTooLong reports whether all upstreams of the request's service have asked for pauses
-// that the request does not wait for: its caller is told when to come back instead. Once its
-// answer has begun, only its deadline applies.
+// resumes returns the time until an upstream takes the request, 0 if one does or none is ready.
+// What is not drawn to the new version of a rollout does not go there because the others pause.
+func (g *Gateway) resumes(r *request) time.Duration {
+	q := placement.Query{Service: r.service}
+	g.chooseVersion(&q, r)
+	return g.upstreams.Resumes(g.now, q.Service, q.NotVersion)
+}
+
+// isPausedTooLong reports whether all upstreams that may take the request have asked for pauses
+// that it does not wait for: its caller is told when to come back instead. Once its answer has
+// begun, only its deadline applies.
 func (g *Gateway) isPausedTooLong(r *request) bool {
-	in := g.upstreams.Resumes(g.now, r.service)
+	in := g.resumes(r)
 	return in > 0 && (!r.answerSent || g.now.Add(in).After(r.deadline))
 }
 
+// refuseForPauses refuses a request because all upstreams have asked for pauses.
+func (g *Gateway) refuseForPauses(r *request) {
+	g.refuse(r, ReasonPaused, g.retryAfter(max(g.resumes(r), minRetryAfter)))
+}
+
 // refusePaused refuses the waiting requests to a service whose upstreams have all asked for
 // pauses.
 func (g *Gateway) refusePaused(service string) {
-	if in := g.upstreams.Resumes(g.now, service); in > 0 {
-		tooLong := func(r *request) bool { return r.service == service && g.isPausedTooLong(r) }
-		g.refuseWaiting(tooLong, ReasonPaused, max(in, minRetryAfter))
+	tooLong := func(r *request) bool { return r.service == service && g.isPausedTooLong(r) }
+	for _, r := range g.waiting(tooLong) {
+		g.refuseForPauses(r)
 	}
 }
 
--- a/internal/core/gateway/pause_load_test.go
+++ b/internal/core/gateway/pause_load_test.go
@@ -6,6 +6,9 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"monsoonlanding/internal/core/placement"
+	"monsoonlanding/internal/core/rollout"
 )
 
 // pauseAll has all upstreams of the plain service ask for a pause.
@@ -172,3 +175,75 @@
 	_, effects = b.arrive("/book/3")
 	b.Assert(has(Dispatch{}, effects), qt.IsFalse)
 }
+
+// rolloutBench has an old and a new version of the plain service, which gets a twentieth of the
+// requests.
+func rolloutBench(t *testing.T, old, newer placement.Upstream) *bench {
+	b := newBench(t, "a")
+	old.Version, newer.Version = "v1", "v2"
+	b.ready(old, newer)
+	b.g.table.Teams()[0].Rate = 0
+	b.orderRollout()
+	b.g.rollouts["desk"].share, b.g.rollouts["desk"].shareAt = 0.05, b.now
+	return b
+}
+
+// TestWaitingRequestsKeepTheShare: requests that waited for the old version were drawn again at
+// each event, so that three times the share went to the new one.
+func TestWaitingRequestsKeepTheShare(t *testing.T) {
+	b := rolloutBench(t, up("d1", "desk"), versioned("d2", "v2"))
+	newer, older := 0, 0
+	count := func(effects []Effect) {
+		newer, older = newer+sentTo(effects)["d2"], older+sentTo(effects)["d1"]
+	}
+	for range 300 {
+		for range 2 {
+			_, effects := b.arrive("/read/1")
+			count(effects)
+		}
+		for range 5 {
+			b.now = b.now.Add(10 * time.Millisecond)
+			b.g.rollouts["desk"].shareAt = b.now
+			count(b.reduce(Tick{}))
+		}
+	}
+	b.Assert(older, qt.Equals, 12)
+	// Thirty of 600 are to be expected; 60 come once in a million times.
+	b.Assert(newer < 60, qt.IsTrue, qt.Commentf("%d", newer))
+}
+
+// TestPausesDuringRollout: pauses of the old version send no more than its share to the new one;
+// the others are refused at once. Those drawn to a new version that pauses go to the old one.
+func TestPausesDuringRollout(t *testing.T) {
+	t.Run("old version", func(t *testing.T) {
+		b := rolloutBench(t, up("d1", "desk"), versioned("d2", "v2"))
+		b.g.recordSignals(up("d1", "desk"), b.now, Signals{Pause: 3 * time.Second})
+		newer, refused := 0, 0
+		for range 400 {
+			_, effects := b.arrive("/read/1")
+			newer += sentTo(effects)["d2"]
+			if refusal(effects) == ReasonPaused {
+				refused++
+			}
+		}
+		b.Assert(newer+refused, qt.Equals, 400)
+		b.Assert(newer < 40, qt.IsTrue, qt.Commentf("%d", newer))
+	})
+	t.Run("new version", func(t *testing.T) {
+		b := rolloutBench(t, versioned("d1", "v1"), up("d2", "desk"))
+		b.g.recordSignals(up("d2", "desk"), b.now, Signals{Pause: 3 * time.Second})
+		for range 400 {
+			_, effects := b.arrive("/read/1")
+			b.Assert(b.dispatch(effects).Upstream.ID, qt.Equals, "d1")
+		}
+	})
+}
+
+// TestPausesAreNoEvidence: a request that is turned away with a pause says nothing of its version.
+func TestPausesAreNoEvidence(t *testing.T) {
+	b := rolloutBench(t, versioned("d1", "v1"), versioned("d2", "v2"))
+	b.g.rollouts["desk"].share = 1
+	b.turnAway("/read/1", 3*time.Second)
+	b.Assert(b.g.rollouts["desk"].newer, qt.Equals, rollout.Evidence{})
+	b.Assert(b.g.rollouts["desk"].older, qt.Equals, rollout.Evidence{})
+}
--- a/internal/core/gateway/queue.go
+++ b/internal/core/gateway/queue.go
@@ -63,7 +63,7 @@
 		return
 	}
 	if g.isPausedTooLong(r) {
-		g.refuse(r, ReasonPaused, g.retryAfter(max(g.upstreams.Resumes(g.now, r.service), minRetryAfter)))
+		g.refuseForPauses(r)
 		return
 	}
 	if ready, usable := g.upstreams.Usable(g.now, r.service, g.slots(r.service)); len(usable) == 0 && !r.answerSent {
@@ -137,14 +137,7 @@
 // requeue empties a queue after a configuration change and adds its requests
 // again with their new routes and ranks.
 func (g *Gateway) requeue(q *serviceQueue) {
-	var waiting []*request
-	for _, r := range g.requests {
-		if r.phase == phaseWaiting && !r.isBetweenRuns() && r.service == q.service {
-			waiting = append(waiting, r)
-		}
-	}
-	slices.SortFunc(waiting, byArrival)
-	for _, r := range waiting {
+	for _, r := range g.waiting(func(r *request) bool { return r.service == q.service }) {
 		g.dequeue(r)
 		if reason := g.match(r); reason != "" {
 			g.emit(Refuse{Conn: r.conn, Reason: reason})
@@ -157,6 +150,19 @@
 	}
 }
 
+// waiting returns the selected ones of the requests that wait for an upstream, in order of
+// arrival.
+func (g *Gateway) waiting(selected func(*request) bool) []*request {
+	var list []*request
+	for _, r := range g.requests {
+		if r.phase == phaseWaiting && !r.isBetweenRuns() && selected(r) {
+			list = append(list, r)
+		}
+	}
+	slices.SortFunc(list, byArrival)
+	return list
+}
+
 // byArrival orders requests by arrival, and those that arrived at the same time
 // by connection, so that the same events give the same effects.
 func byArrival(a, b *request) int {
@@ -172,14 +178,7 @@
 // refuseWaiting refuses the waiting requests that are selected, with a base delay
 // after which to retry.
 func (g *Gateway) refuseWaiting(selected func(*request) bool, reason Reason, wait time.Duration) {
-	var list []*request
-	for _, r := range g.requests {
-		if r.phase == phaseWaiting && !r.isBetweenRuns() && selected(r) {
-			list = append(list, r)
-		}
-	}
-	slices.SortFunc(list, byArrival)
-	for _, r := range list {
+	for _, r := range g.waiting(selected) {
 		g.refuse(r, reason, g.retryAfter(wait))
 	}
 }
--- a/internal/core/gateway/request.go
+++ b/internal/core/gateway/request.go
@@ -48,6 +48,9 @@
 	continuesRun bool
 	from         KVCache
 	counted      evidenceMark
+	// versionDraw is the random number that decides on the version for the next attempt
+	// during a rollout, 0 if none has been drawn.
+	versionDraw float64
 	// paced is set once the pace of the current attempt's stream is known.
 	paced bool
 	// move is the transfer of the current attempt to another engine, nil if
@@ -226,7 +229,12 @@
 	if !ok {
 		return false
 	}
-	u, ok := g.upstreams.Pick(g.now, g.query(r, service))
+	query := g.query(r, service)
+	u, ok := g.upstreams.Pick(g.now, query)
+	if !ok && query.Version != "" {
+		query.Version, query.NotVersion = "", query.Version
+		u, ok = g.upstreams.Pick(g.now, query)
+	}
 	if !ok {
 		return false
 	}
@@ -242,6 +250,7 @@
 	r.upstream = u
 	r.began, r.relay = false, ""
 	r.dispatchedAt = g.now
+	r.versionDraw = 0
 	r.process, r.sound = processID(u), false
 	r.continuesRun, r.from, r.counted, r.paced = from != (KVCache{}), from, notCounted, false
 	if r.attempt == 1 {
@@ -291,7 +300,7 @@
 
 func (g *Gateway) query(r *request, service *route.Service) placement.Query {
 	q := placement.Query{Service: r.service, Exclude: r.exclude}
-	g.chooseVersion(&q)
+	g.chooseVersion(&q, r)
 	if service.Engine == nil {
 		return q
 	}
--- a/internal/core/gateway/rollouts.go
+++ b/internal/core/gateway/rollouts.go
@@ -101,10 +101,10 @@
 	g.emit(WriteRollout{Order: r.order})
 }
 
-// chooseVersion restricts a query to the new version of a rollout or to the
-// others. Without a recent share from the lease holder nothing goes to the new
-// version.
-func (g *Gateway) chooseVersion(q *placement.Query) {
+// chooseVersion restricts a query for a request to the new version of a rollout or to the
+// others. Without a recent share from the lease holder nothing goes to the new version. The
+// choice is drawn once for each attempt: a request that has to wait is placed many times.
+func (g *Gateway) chooseVersion(q *placement.Query, req *request) {
 	r := g.rollouts[q.Service]
 	if r == nil || r.order.State == rollout.StateComplete {
 		return
@@ -113,7 +113,10 @@
 	if r.stopped || !r.order.Open() || g.now.Sub(r.shareAt) > shareLifetime {
 		share = 0
 	}
-	if share > 0 && g.rng.Float64() < share {
+	if share > 0 && req.versionDraw == 0 {
+		req.versionDraw = g.rng.Float64()
+	}
+	if share > 0 && req.versionDraw < share {
 		q.Version = r.order.Target
 		return
 	}
--- a/internal/core/placement/pause.go
+++ b/internal/core/placement/pause.go
@@ -91,12 +91,12 @@
 	return true
 }
 
-// Resumes returns the time until the first of a service's upstreams takes requests again, 0 if one
-// that is ready does so now, or none is ready.
-func (s *Set) Resumes(now time.Time, service string) time.Duration {
+// Resumes returns the time until the first of a service's upstreams of all versions but one takes
+// requests again, 0 if one that is ready does so now, or none is ready.
+func (s *Set) Resumes(now time.Time, service, notVersion string) time.Duration {
 	var first time.Duration
 	for _, m := range s.sorted {
-		if m.Service != service || m.State != StateReady {
+		if m.Service != service || m.State != StateReady || notVersion != "" && m.Version == notVersion {
 			continue
 		}
 		left := s.PauseLeft(now, m.Upstream)
