gateway, platform: dispatch, refusals and results in files of their own; one list of ways to an upstream

request.go, event.go and soak_test.go had grown; nothing but the places of declarations changes. The tests of leaves and of pauses had a copy of the ways to an upstream each; both take them from one list now, which adds requests of other nodes and new versions to the rows of leaves, and moved streams to those of pauses. The row of moved streams asks whether its engine is still ready instead of whether anything runs, which says the same in both.

--- a/internal/core/gateway/leaving_test.go
+++ b/internal/core/gateway/leaving_test.go
@@ -54,64 +54,7 @@
 // requests until the store listed it as draining, which some never report. One row for
 // each way to an upstream.
 func TestLeavingUpstreamGetsNoRequest(t *testing.T) {
-	for _, row := range []struct {
-		name string
-		send func(*bench) []Effect
-	}{
-		{"first sends to a plain service", func(b *bench) []Effect {
-			_, effects := b.arrive("/book/2")
-			return effects
-		}},
-		{"first sends to an engine", func(b *bench) []Effect {
-			_, effects := b.arrive("/plan/2")
-			return effects
-		}},
-		{"the queue", func(b *bench) []Effect {
-			// d2 has room for twelve; the others wait until these have ended.
-			var all []Effect
-			for range 16 {
-				_, effects := b.arrive("/read/2")
-				all = append(all, effects...)
-			}
-			for _, r := range b.running() {
-				all = append(all, b.reduce(Ended{Conn: r.conn, Attempt: r.attempt, Result: ResultComplete})...)
-			}
-			return all
-		}},
-		{"retries after refusals", func(b *bench) []Effect {
-			return b.endFirstAttempt("/read/2", Ended{Result: ResultFull, Framing: FramingLength})
-		}},
-		{"retries after errors", func(b *bench) []Effect {
-			return b.endFirstAttempt("/read/2", Ended{Result: ResultErrored, Framing: FramingLength})
-		}},
-		{"resumed streams", func(b *bench) []Effect {
-			return b.endFirstAttempt("/ask/2", Ended{Result: ResultBroken, Framing: FramingChunks, AnswerSent: true})
-		}},
-		{"moved streams", func(b *bench) []Effect {
-			if len(b.running()) > 0 {
-				return nil
-			}
-			b.streaming("/plan/2", 5000)
-			return b.reclaim("m2", 2500*time.Millisecond)
-		}},
-		{"all others ejected", func(b *bench) []Effect {
-			var all []Effect
-			for range 4 {
-				_, effects := b.arrive("/book/2")
-				all = append(all, effects...)
-				for _, r := range b.running() {
-					all = append(all, b.reduce(Ended{Conn: r.conn, Attempt: r.attempt, Result: ResultUnreachable})...)
-				}
-			}
-			return append(all, b.wait(time.Second)...)
-		}},
-		{"an unlisted one is the only other", func(b *bench) []Effect {
-			b.reduce(StoreLost{})
-			b.list(up("d1", "desk"))
-			_, effects := b.arrive("/book/2")
-			return effects
-		}},
-	} {
+	for _, row := range waysToUpstreams() {
 		t.Run(row.name, func(t *testing.T) {
 			b := leavingBench(t)
 			for range 8 {
--- a/internal/core/gateway/pause_test.go
+++ b/internal/core/gateway/pause_test.go
@@ -7,8 +7,6 @@
 	qt "github.com/frankban/quicktest"
 
 	"monsoonlanding/internal/core/placement"
-	"monsoonlanding/internal/core/rollout"
-	"monsoonlanding/internal/core/store"
 )
 
 // askedPause is the pause that the upstreams of pausingBench ask for.
@@ -62,82 +60,11 @@
 	return reached
 }
 
-// endAttemptIfSent is endFirstAttempt for a request that may have to wait.
-func (b *bench) endAttemptIfSent(path string, e Ended) []Effect {
-	conn, effects := b.arrive(path)
-	d, sent := findDispatch(effects)
-	if !sent {
-		return effects
-	}
-	if e.AnswerSent {
-		b.reduce(Began{Conn: conn, Attempt: d.Attempt})
-	}
-	e.Conn, e.Attempt = conn, d.Attempt
-	return append(effects, b.reduce(e)...)
-}
-
 // TestPausedUpstreamGetsNoRequest: an upstream that had asked a node for a pause got requests
 // from it after 200 ms, or at once where all others were ejected (BUDGET). One row for each way
 // to an upstream.
 func TestPausedUpstreamGetsNoRequest(t *testing.T) {
-	for _, row := range []struct {
-		name string
-		send func(*bench) []Effect
-	}{
-		{"first sends to a plain service", func(b *bench) []Effect {
-			_, effects := b.arrive("/book/2")
-			return effects
-		}},
-		{"first sends to an engine", func(b *bench) []Effect {
-			_, effects := b.arrive("/plan/2")
-			return effects
-		}},
-		{"the queue", func(b *bench) []Effect {
-			var all []Effect
-			for range 16 {
-				_, effects := b.arrive("/read/2")
-				all = append(all, effects...)
-			}
-			return append(all, b.endRunning(ResultComplete)...)
-		}},
-		{"retries after refusals", func(b *bench) []Effect {
-			return b.endAttemptIfSent("/read/2", Ended{Result: ResultFull, Framing: FramingLength})
-		}},
-		{"retries after errors", func(b *bench) []Effect {
-			return b.endAttemptIfSent("/read/2", Ended{Result: ResultErrored, Framing: FramingLength})
-		}},
-		{"resumed streams", func(b *bench) []Effect {
-			return b.endAttemptIfSent("/ask/2", Ended{Result: ResultBroken, Framing: FramingChunks, AnswerSent: true})
-		}},
-		{"all others ejected", func(b *bench) []Effect {
-			var all []Effect
-			for range 4 {
-				_, effects := b.arrive("/book/2")
-				all = append(all, effects...)
-				all = append(all, b.endRunning(ResultUnreachable)...)
-			}
-			return all
-		}},
-		{"an unlisted one is the only other", func(b *bench) []Effect {
-			b.reduce(StoreLost{})
-			b.list(up("d1", "desk"))
-			_, effects := b.arrive("/book/2")
-			return effects
-		}},
-		{"requests that other nodes pass on", func(b *bench) []Effect {
-			b.conn++
-			return b.reduce(Arrived{Conn: b.conn, Request: Request{ID: "r", Host: "h", Path: "/book/1", Key: "k"}, Relayed: &Relayed{From: "c", Attempts: 1}})
-		}},
-		{"the new version of a rollout", func(b *bench) []Effect {
-			paused := up("d1", "desk")
-			paused.Version = "v2"
-			b.list(paused, up("d2", "desk"), up("m1", "model"), up("m2", "model"))
-			b.reduce(RolloutsChanged{Orders: []rollout.Order{{Service: "desk", Target: "v2", TimeLimit: 12 * time.Second, Revision: store.Revision{Number: 3}}}})
-			b.g.rollouts["desk"].share, b.g.rollouts["desk"].shareAt = 1, b.now
-			_, effects := b.arrive("/book/2")
-			return effects
-		}},
-	} {
+	for _, row := range waysToUpstreams() {
 		t.Run(row.name, func(t *testing.T) {
 			b := pausingBench(t)
 			for end := b.now.Add(askedPause - TickInterval); b.now.Before(end); {
--- a/internal/core/gateway/signals.go
+++ b/internal/core/gateway/signals.go
@@ -6,6 +6,18 @@
 	"monsoonlanding/internal/core/placement"
 )
 
+// Signals is what an upstream says of itself in the head of an answer.
+type Signals struct {
+	// RateLimit is the limit that it names.
+	RateLimit placement.RateLimit
+	// Brittle is the number of rejections a second that it bears.
+	Brittle placement.RateLimit
+	// Leaving is set if it leaves.
+	Leaving bool
+	// Pause is the time for which it wants no requests from this node, 0 if it names none.
+	Pause time.Duration
+}
+
 // recordSignals records what an upstream says of itself in its answer to an exchange that began
 // at a time.
 func (g *Gateway) recordSignals(u placement.Upstream, began time.Time, s Signals) {
