--- a/internal/core/gateway/pause_test.go
+++ b/internal/core/gateway/pause_test.go
@@ -179,3 +179,70 @@
 		})
 	}
 }
+
+// TestPauseIsOfOneNode: a pause is for the node that was asked for it; others learn nothing of it.
+func TestPauseIsOfOneNode(t *testing.T) {
+	a, b := newBench(t, "a"), newBench(t, "b")
+	for _, n := range []*bench{a, b} {
+		n.ready(up("d1", "desk"))
+	}
+	a.receive(status("b"))
+	a.askForPause("/book/1")
+	a.Assert(b.receiveStatus(a.wait(time.Second), "b"), qt.IsTrue)
+	_, effects := b.arrive("/book/1")
+	b.Assert(b.dispatch(effects).Upstream.ID, qt.Equals, "d1")
+}
+
+// TestProbesKeepToPauses: a node that looks for its paths leaves upstreams alone that have asked
+// it for a pause, also when a peer asks for them.
+func TestProbesKeepToPauses(t *testing.T) {
+	b := pathsBench(t)
+	for _, u := range pathsUpstreams() {
+		if u.Service == "model" {
+			b.g.recordSignals(u, b.now, Signals{Pause: time.Minute})
+		}
+	}
+	asking := reachingPeer("c")
+	for _, u := range pathsUpstreams() {
+		asking.Unreached = append(asking.Unreached, processID(u))
+	}
+	reached := reachedBy(b.receive(asking))
+	for range 10 {
+		effects := b.wait(TickInterval)
+		_, sent := b.arrive("/book/1")
+		effects = append(effects, sent...)
+		for _, r := range b.running() {
+			effects = append(effects, b.reduce(Ended{Conn: r.conn, Attempt: r.attempt, Result: ResultUnreachable, Connect: ConnectFailed})...)
+		}
+		for id, n := range reachedBy(effects) {
+			reached[id] += n
+		}
+	}
+	b.Assert(reached["d0"] > 0, qt.IsTrue)
+	for _, id := range []string{"m0", "m1", "m2", "m3"} {
+		b.Assert(reached[id], qt.Equals, 0)
+	}
+}
+
+// TestWithheldRequestIsNoRetry: a request that was not written because its upstream had asked for
+// a pause meanwhile goes elsewhere, takes no retry and leaves no trace at its upstream.
+func TestWithheldRequestIsNoRetry(t *testing.T) {
+	b := newBench(t, "a")
+	b.ready(up("d1", "desk"), up("d2", "desk"))
+	b.g.recordSignals(up("d1", "desk"), b.now, Signals{RateLimit: twoPerSecond})
+	b.g.recordSignals(up("d2", "desk"), b.now, Signals{RateLimit: twoPerSecond})
+	b.wait(time.Second)
+	conn, effects := b.arrive("/book/1")
+	d := b.dispatch(effects)
+	b.g.recordSignals(d.Upstream, b.now, Signals{Pause: time.Second, RateLimit: twoPerSecond})
+	effects = b.reduce(Ended{Conn: conn, Attempt: d.Attempt, Result: ResultWithheld})
+	next := b.dispatch(effects)
+	b.Assert(next.Upstream.ID, qt.Not(qt.Equals), d.Upstream.ID)
+	b.Assert(b.g.budget("desk").retryCount(), qt.Equals, 0)
+	b.Assert(b.g.upstreams.Load(d.Upstream.ID).Running, qt.Equals, 0)
+	// What it had taken of the limit is given back.
+	b.wait(time.Second)
+	b.reduce(Ended{Conn: conn, Attempt: next.Attempt, Result: ResultComplete, Framing: FramingLength, Signals: Signals{RateLimit: twoPerSecond}})
+	_, effects = b.arrive("/book/2")
+	b.Assert(has(Dispatch{}, effects), qt.IsTrue)
+}
