placement, gateway: a trial ends without its upstream's entry; pauses take no retries

Callers saw: nothing yet. A trial after a pause that ended without an answer while the upstream's entry was missing for a moment kept everything from it for a minute. A request that had got an upstream's own error ended with 502 in its place, or took a retry from the budget, when all upstreams paused.

Cause: the end of a trial was looked up by the list's entry; whether anything takes a retry was asked after the retry was taken. Found in reading the change.

Change: a trial ends by the upstream's ID; pauses are asked about first.

Evidence: TestTrialEndsWithoutItsEntry and two rows of TestCallersAreToldTheEndOfPauses fail without the change.

--- a/internal/core/gateway/attempt.go
+++ b/internal/core/gateway/attempt.go
@@ -173,6 +173,10 @@
 	if g.passOn(r) {
 		return
 	}
+	if g.isPausedTooLong(r) {
+		g.refuseForPauses(r)
+		return
+	}
 	if r.notRun > maxNotRunRetries || !g.allowRetryAfter(r, e) {
 		g.refuse(r, ReasonNotRun, g.retryAfter(max(g.resumes(r), minRetryAfter)))
 		return
@@ -188,7 +192,7 @@
 	if r.answerSent && r.route.Kind != route.KindStreaming {
 		retryable = false
 	}
-	if retryable && !g.isRefused(r) && g.allowRetry(r, string(e.Result)) {
+	if retryable && !g.isRefused(r) && !g.isPausedTooLong(r) && g.allowRetry(r, string(e.Result)) {
 		g.retry(r)
 		return
 	}
--- a/internal/core/gateway/pause_load_test.go
+++ b/internal/core/gateway/pause_load_test.go
@@ -78,6 +78,16 @@
 		r, refused := findRefusal(effects)
 		b.Assert(refused, qt.IsTrue)
 		b.Assert(r.RetryAfter >= 2*time.Second, qt.IsTrue, qt.Commentf("%v", r.RetryAfter))
+		b.Assert(b.g.budget("desk").retryCount(), qt.Equals, 1)
+	})
+	t.Run("a request that has run", func(t *testing.T) {
+		b := newPausedBench(t)
+		conn, effects := b.arrive("/read/1")
+		d := b.dispatch(effects)
+		b.pauseAll(3 * time.Second)
+		effects = b.reduce(Ended{Conn: conn, Attempt: d.Attempt, Result: ResultErrored, Framing: FramingLength})
+		b.Assert(has(RelayError{}, effects), qt.IsTrue)
+		b.Assert(b.g.budget("desk").retryCount(), qt.Equals, 0)
 	})
 	t.Run("a pause that ends soon", func(t *testing.T) {
 		b := newPausedBench(t)
@@ -159,6 +169,23 @@
 	}
 }
 
+// TestTrialEndsWithoutItsEntry: a trial that ended without an answer while the upstream's entry was
+// missing from the list kept all requests from the upstream for a minute.
+func TestTrialEndsWithoutItsEntry(t *testing.T) {
+	b := newBench(t, "a")
+	b.ready(up("d1", "desk"))
+	b.g.table.Teams()[0].Rate = 0
+	b.pauseAll(time.Second)
+	b.wait(time.Second)
+	conn, effects := b.arrive("/book/1")
+	d := b.dispatch(effects)
+	b.list()
+	b.reduce(Ended{Conn: conn, Attempt: d.Attempt, Result: ResultBroken})
+	b.list(up("d1", "desk"))
+	_, effects = b.arrive("/book/2")
+	b.Assert(has(Dispatch{}, effects), qt.IsTrue)
+}
+
 // TestEarlierAnswerIsNoTrial: an answer to a request that was sent before the pause does not show
 // that the upstream takes requests after it.
 func TestEarlierAnswerIsNoTrial(t *testing.T) {
--- a/internal/core/placement/health.go
+++ b/internal/core/placement/health.go
@@ -22,12 +22,12 @@
 // health by its outcome. One that was sent to an earlier process under the same ID says nothing
 // of this one.
 func (s *Set) RecordEnd(now time.Time, id string, request uint64, outcome Outcome) {
+	s.endTrial(id, request)
 	m := s.members[id]
 	if m == nil || m.running[request] == nil {
 		return
 	}
 	delete(m.running, request)
-	s.endTrial(m, request)
 	m.recordOutcome(now, outcome)
 }
 
--- a/internal/core/placement/pause.go
+++ b/internal/core/placement/pause.go
@@ -73,10 +73,13 @@
 	}
 }
 
-// endTrial ends the trial of a request without an answer. The next request is on trial.
-func (s *Set) endTrial(m *member, request uint64) {
-	if p := s.pauses[processOf(m.Upstream)]; p != nil && p.trial == request {
-		p.trial = 0
+// endTrial ends the trial of a request without an answer, also if the upstream's entry is missing
+// now. The next request is on trial.
+func (s *Set) endTrial(id string, request uint64) {
+	for process, p := range s.pauses {
+		if process.id == id && p.trial == request {
+			p.trial = 0
+		}
 	}
 }
 
