gateway: a stopped run whose time ends is not reported as not run

Callers saw: nothing yet; a request whose run had been stopped to continue at another engine, and whose time ended before it did, would have got 503, which says that it has not run, if nothing of its answer had been sent (REFUSED), and its quota back. A pause of the target makes that wait longer.

Cause: a request that waits for its move is in the phase of those that wait in the queue.

Change: such a request ends with 504 and keeps what it has cost.

Evidence: TestStoppedRunIsNotReportedAsNotRun fails without the change.

--- a/internal/core/gateway/attempt.go
+++ b/internal/core/gateway/attempt.go
@@ -269,7 +269,7 @@
 		return
 	}
 	switch {
-	case r.phase == phaseWaiting && r.runs == 0:
+	case r.phase == phaseWaiting && r.runs == 0 && !r.isBetweenRuns():
 		g.refuse(r, ReasonTimeout, 0)
 	case r.phase == phaseRunning && r.began && r.route.Kind == route.KindStreaming:
 		g.abort(r, ReasonDeadlineExceeded)
--- a/internal/core/gateway/move_test.go
+++ b/internal/core/gateway/move_test.go
@@ -123,3 +123,20 @@
 	b.Assert(ok, qt.IsFalse)
 	b.Assert(b.g.upstreams.OwnLoads()["m2"].Running, qt.Equals, 10)
 }
+
+// TestStoppedRunIsNotReportedAsNotRun: a request whose run had been stopped to continue elsewhere, and
+// whose time ended before it did, was refused as not run if nothing of its answer had been sent.
+func TestStoppedRunIsNotReportedAsNotRun(t *testing.T) {
+	for _, outcome := range []MoveOutcome{"", MoveDone} {
+		b := newBench(t, "a")
+		b.ready(up("m1", "model"), up("m2", "model"))
+		conn, d := b.streaming("/plan/1", 5000)
+		m, _ := findMove(b.reclaim(d.Upstream.ID, 2500*time.Millisecond))
+		b.reduce(Ended{Conn: conn, Attempt: d.Attempt, Result: ResultBroken})
+		if outcome != "" {
+			b.g.recordSignals(m.Target, b.now, Signals{Pause: time.Second})
+			b.reduce(Moved{Conn: conn, Attempt: d.Attempt, Outcome: outcome, Handle: "h1"})
+		}
+		b.Assert(refusal(b.reduce(Expired{Conn: conn})), qt.Equals, ReasonDeadlineExceeded)
+	}
+}
--- a/internal/core/gateway/refuse.go
+++ b/internal/core/gateway/refuse.go
@@ -37,7 +37,7 @@
 	g.count(CountRefusal, string(reason))
 	g.logRequest(r, "refuse", string(reason), "upstream", r.upstream.ID, "attempt", r.attempt,
 		"age_ms", g.now.Sub(r.arrived).Milliseconds(), "runs", r.runs, "turned", r.notRun)
-	if r.runs == 0 && r.phase == phaseWaiting {
+	if r.runs == 0 && r.phase == phaseWaiting && !r.isBetweenRuns() {
 		g.refundQuota(r)
 	}
 	g.remove(r)
