gateway, run/gateway, platform: what an upstream says counts although its request is gone

A call to move a run that got no answer lifted the limit that its source had named.

Cause: what an upstream says of itself travelled with the end of the attempt, which is dropped together with its request; no answer looked like one that names nothing. Found in reading the change.

Change: the head of an answer that its request does not wait for is reported as an event of its own; the answer to a move has its source, and says whether there was one. isPausedTooLong is isRefusedForPauses, which is what it says now.

Evidence: TestPauseOfDroppedAnswerCounts fails without the event, TestAnswerToMoveTellsOfItsSource without the rest.

--- a/internal/core/gateway/attempt.go
+++ b/internal/core/gateway/attempt.go
@@ -173,7 +173,7 @@
 	if g.passOn(r) {
 		return
 	}
-	if g.isPausedTooLong(r) {
+	if g.isRefusedForPauses(r) {
 		g.refuseForPauses(r)
 		return
 	}
@@ -192,7 +192,7 @@
 	if r.answerSent && r.route.Kind != route.KindStreaming {
 		retryable = false
 	}
-	if retryable && !g.isRefused(r) && !g.isPausedTooLong(r) && g.allowRetry(r, string(e.Result)) {
+	if retryable && !g.isRefused(r) && !g.isRefusedForPauses(r) && g.allowRetry(r, string(e.Result)) {
 		g.retry(r)
 		return
 	}
--- a/internal/core/gateway/event.go
+++ b/internal/core/gateway/event.go
@@ -96,8 +96,21 @@
 	Outcome MoveOutcome
 	// Handle identifies the KV cache of the stopped run.
 	Handle string
-	// Signals is what the source says of itself in its answer.
-	Signals Signals
+	// Source is the upstream that was called at StartedAt. Answered is set if it has answered,
+	// and Signals is what it says of itself in its answer.
+	Source    placement.Upstream
+	StartedAt time.Time
+	Answered  bool
+	Signals   Signals
+}
+
+// AnswerDropped reports an answer whose head arrived when its caller had left or its time had
+// ended: it still tells of its upstream.
+type AnswerDropped struct {
+	Upstream placement.Upstream
+	// StartedAt is when the exchange began.
+	StartedAt time.Time
+	Signals   Signals
 }
 
 // Expired reports that a request's deadline has passed.
@@ -247,6 +260,7 @@
 func (Paced) event()             {}
 func (Ended) event()             {}
 func (Moved) event()             {}
+func (AnswerDropped) event()     {}
 func (Expired) event()           {}
 func (HandlerEnded) event()      {}
 func (ConfigRead) event()        {}
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -210,6 +210,8 @@
 		g.ended(e)
 	case Moved:
 		g.moved(e)
+	case AnswerDropped:
+		g.recordSignals(e.Upstream, e.StartedAt, e.Signals)
 	case Expired:
 		g.expired(e)
 	case HandlerEnded:
--- a/internal/core/gateway/move.go
+++ b/internal/core/gateway/move.go
@@ -33,7 +33,6 @@
 // move is the transfer of a running request to another engine.
 type move struct {
 	source, target placement.Upstream
-	startedAt      time.Time
 	// moved is the answer to the move, nil until it is received.
 	moved *Moved
 	// ended is the end of the stopped stream, nil until it is received.
@@ -132,7 +131,7 @@
 		}
 		return false
 	}
-	r.move = &move{source: source, target: target, startedAt: g.now}
+	r.move = &move{source: source, target: target}
 	// The run's continuation is a request to the target, and the move one to the
 	// source.
 	g.upstreams.Reserve(g.now, target.ID)
@@ -148,12 +147,14 @@
 // moved processes the answer to a move.
 func (g *Gateway) moved(e Moved) {
 	g.count(CountMove, string(e.Outcome))
+	if e.Answered {
+		g.recordSignals(e.Source, e.StartedAt, e.Signals)
+	}
 	r := g.requests[e.Conn]
 	if r == nil || r.attempt != e.Attempt || r.move == nil {
 		return
 	}
 	source := r.move.source
-	g.recordSignals(source, r.move.startedAt, e.Signals)
 	switch {
 	case r.move.ended != nil:
 		r.move.moved = &e
--- a/internal/core/gateway/move_test.go
+++ b/internal/core/gateway/move_test.go
@@ -140,3 +140,19 @@
 		b.Assert(refusal(b.reduce(Expired{Conn: conn})), qt.Equals, ReasonDeadlineExceeded)
 	}
 }
+
+// TestAnswerToMoveTellsOfItsSource: what a source said in its answer to a move was lost if the caller
+// had left meanwhile, and a call without an answer lifted the source's limit.
+func TestAnswerToMoveTellsOfItsSource(t *testing.T) {
+	b := newBench(t, "a")
+	b.ready(up("m1", "model"), up("m2", "model"))
+	conn, d := b.streaming("/plan/1", 5000)
+	m, _ := findMove(b.reclaim(d.Upstream.ID, 2500*time.Millisecond))
+	b.reduce(HandlerEnded{Conn: conn, Disconnected: true})
+	limited := Signals{Pause: time.Second, RateLimit: twoPerSecond}
+	b.reduce(Moved{Conn: conn, Attempt: d.Attempt, Outcome: MoveRefused, Source: m.Source, StartedAt: b.now, Answered: true, Signals: limited})
+	b.Assert(b.g.Admits(b.now, m.Source), qt.IsFalse)
+	b.wait(time.Second)
+	b.reduce(Moved{Conn: conn, Attempt: d.Attempt, Outcome: MoveUnknown, Source: m.Source, StartedAt: b.now})
+	b.Assert(b.g.upstreams.OwnLimits(b.now)[0].Limit, qt.Equals, twoPerSecond)
+}
--- a/internal/core/gateway/pause.go
+++ b/internal/core/gateway/pause.go
@@ -22,10 +22,10 @@
 	return g.upstreams.Resumes(g.now, q.Service, q.NotVersion)
 }
 
-// isPausedTooLong reports whether all upstreams that may take the request have asked for pauses
-// that it does not wait for: its caller is told when to come back instead. Once its answer has
-// begun, only its deadline applies.
-func (g *Gateway) isPausedTooLong(r *request) bool {
+// isRefusedForPauses reports whether all upstreams that may take the request have asked for pauses:
+// its caller is told when to come back. Once its answer has begun, it waits for that if its
+// deadline allows it.
+func (g *Gateway) isRefusedForPauses(r *request) bool {
 	in := g.resumes(r)
 	return in > 0 && (!r.answerSent || g.now.Add(in).After(r.deadline))
 }
@@ -38,8 +38,8 @@
 // refusePaused refuses the waiting requests to a service whose upstreams have all asked for
 // pauses.
 func (g *Gateway) refusePaused(service string) {
-	tooLong := func(r *request) bool { return r.service == service && g.isPausedTooLong(r) }
-	for _, r := range g.waiting(tooLong) {
+	paused := func(r *request) bool { return r.service == service && g.isRefusedForPauses(r) }
+	for _, r := range g.waiting(paused) {
 		g.refuseForPauses(r)
 	}
 }
--- a/internal/core/gateway/queue.go
+++ b/internal/core/gateway/queue.go
@@ -62,7 +62,7 @@
 		g.refuse(r, ReasonNoUpstream, g.retryAfter(time.Second))
 		return
 	}
-	if g.isPausedTooLong(r) {
+	if g.isRefusedForPauses(r) {
 		g.refuseForPauses(r)
 		return
 	}
--- a/internal/run/gateway/attempt.go
+++ b/internal/run/gateway/attempt.go
@@ -23,7 +23,8 @@
 // attempt sends the request to an upstream and relays the answer. It reports
 // whether the request is finished.
 func (h *handler) attempt(ctx context.Context, d core.Dispatch) bool {
-	remaining := d.Deadline.Sub(h.runner.cfg.Clock.Now())
+	startedAt := h.runner.cfg.Clock.Now()
+	remaining := d.Deadline.Sub(startedAt)
 	attemptCtx, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
 	_ = h.control.SetWriteDeadline(time.Now().Add(remaining + writeMargin))
@@ -36,12 +37,14 @@
 		return true
 	}
 	if ctx.Err() != nil {
+		h.reportDropped(d, startedAt, ended)
 		return true
 	}
 	if ended.Result == core.ResultAborted {
 		h.abort()
 	}
 	if attemptCtx.Err() != nil {
+		h.reportDropped(d, startedAt, ended)
 		h.runner.submit(core.Expired{Conn: h.conn})
 		return false
 	}
@@ -49,6 +52,14 @@
 	return false
 }
 
+// reportDropped reports the head of an answer, if one arrived, that the request does not wait for
+// any more.
+func (h *handler) reportDropped(d core.Dispatch, startedAt time.Time, ended core.Ended) {
+	if ended.Framing != "" && ended.Result != core.ResultMisdirected && d.Relay == (core.Relay{}) {
+		h.runner.submit(core.AnswerDropped{Upstream: d.Upstream, StartedAt: startedAt, Signals: ended.Signals})
+	}
+}
+
 // exchange sends the request, relays the answer and returns the result.
 func (h *handler) exchange(ctx context.Context, d core.Dispatch, remaining time.Duration) core.Ended {
 	h.stream.partialBytes = 0
--- a/internal/run/gateway/exchange_test.go
+++ b/internal/run/gateway/exchange_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	core "monsoonlanding/internal/core/gateway"
+	"monsoonlanding/internal/core/placement"
 )
 
 // TestRequestIsWithheldDuringPause: a request that was dispatched before its upstream asked for a
@@ -58,3 +59,33 @@
 	c.Assert(resp.StatusCode, qt.Equals, http.StatusServiceUnavailable)
 	c.Assert(reached, qt.DeepEquals, []string{"/q/overtakes"})
 }
+
+// TestPauseOfDroppedAnswerCounts: a pause was not known to the node if the caller of the request that
+// was turned away left at the same time.
+func TestPauseOfDroppedAnswerCounts(t *testing.T) {
+	c := qt.New(t)
+	ctx, leave := context.WithCancel(context.Background())
+	server, r := newTestNode(c, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "10")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		w.(http.Flusher).Flush()
+		// The node waits for the body for a moment.
+		leave()
+		time.Sleep(200 * time.Millisecond)
+	})
+	classify := r.cfg.Protocol.ClassifyHead
+	r.cfg.Protocol.ClassifyHead = func(id string, status int, h http.Header) Head {
+		head := classify(id, status, h)
+		head.Signals.Pause = time.Minute
+		return head
+	}
+	_, err := get(c, ctx, server, "/q/1")
+	c.Assert(err, qt.IsNotNil)
+	paused := func() bool {
+		return !r.admits(placement.Upstream{ID: "u0"})
+	}
+	for end := time.Now().Add(5 * time.Second); !paused() && time.Now().Before(end); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	c.Assert(paused(), qt.IsTrue)
+}
--- a/internal/run/gateway/execute.go
+++ b/internal/run/gateway/execute.go
@@ -117,7 +117,9 @@
 }
 
 func (r *Runner) move(e core.Move) {
+	startedAt := r.cfg.Clock.Now()
 	moved, err := r.cfg.Services.MoveRun(r.ctx, r.exchange, e)
+	moved.Source, moved.StartedAt = e.Source, startedAt
 	if err != nil {
 		r.log.Warn().Str("step", "move").Str("request", e.Request).Str("source", e.Source.ID).Str("target", e.Target.ID).
 			Str("outcome", string(moved.Outcome)).Err(err).Msg("run not moved")
