--- a/internal/wire/http1/pool_test.go
+++ b/internal/wire/http1/pool_test.go
@@ -206,13 +206,13 @@
 // a closed connection ends the answer and a reset connection breaks it.
 func TestUnframedAnswerEndsWithConnection(t *testing.T) {
 	c := qt.New(t)
-	reset := false
+	var reset atomic.Bool
 	server := newServer(c, func(nc net.Conn, br *bufio.Reader) {
 		if _, err := http.ReadRequest(br); err != nil {
 			return
 		}
 		_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\n\r\nall of it")
-		if reset {
+		if reset.Load() {
 			time.Sleep(20 * time.Millisecond)
 			_ = nc.(*net.TCPConn).SetLinger(0)
 		}
@@ -220,7 +220,7 @@
 	body, err := get(c, newPool(), server.address)
 	c.Assert(err, qt.IsNil)
 	c.Assert(body, qt.Equals, "all of it")
-	reset = true
+	reset.Store(true)
 	_, err = get(c, newPool(), server.address)
 	c.Assert(err, qt.IsNotNil)
 }
