--- a/internal/tool/emulator/caller.go
+++ b/internal/tool/emulator/caller.go
@@ -314,8 +314,9 @@
 	}
 	delay := float64(s.now.Sub(c.submitted)) / float64(c.kind.LatencyGoal)
 	s.report.MaxRefusalDelay = max(s.report.MaxRefusalDelay, delay)
-	if c.attempt == 0 && s.allPause(s.routes[c.kind.Route].Targets[0].Service) {
-		s.report.MaxRefusalDelayInPause = max(s.report.MaxRefusalDelayInPause, delay)
+	if since, paused := s.allPausedSince(c.node, s.routes[c.kind.Route].Targets[0].Service); paused && c.attempt == 0 {
+		known := min(s.now.Sub(since), s.now.Sub(c.submitted))
+		s.report.MaxRefusalDelayInPause = max(s.report.MaxRefusalDelayInPause, float64(known)/float64(c.kind.LatencyGoal))
 	}
 	if reason == gateway.ReasonOverload && s.hasCapacity(c) {
 		s.report.RefusedWithCapacity++
--- a/internal/tool/emulator/pause.go
+++ b/internal/tool/emulator/pause.go
@@ -25,11 +25,22 @@
 	return p.Pause
 }
 
-// allPause reports whether all upstreams of a service ask for pauses now.
-func (s *simulation) allPause(service string) bool {
-	return !slices.ContainsFunc(s.upstreams, func(u *upstream) bool {
-		return u.Service == service && !u.crashed && s.pauseOf(u) == 0
-	})
+// allPausedSince returns since when all upstreams of a service have asked a node for pauses that
+// last; ok is false if one has not.
+func (s *simulation) allPausedSince(node int, service string) (since time.Time, ok bool) {
+	for _, u := range s.upstreams {
+		if u.Service != service || u.crashed {
+			continue
+		}
+		asked, paused := s.oracle.pause.askedSince(s.now, node, u.ID)
+		if !paused {
+			return time.Time{}, false
+		}
+		if asked.After(since) {
+			since = asked
+		}
+	}
+	return since, true
 }
 
 const (
@@ -56,6 +67,18 @@
 	o.pauses[key] = append(o.pauses[key], &askedPause{from: now.Add(pauseGrace), to: now.Add(pause)})
 }
 
+// askedSince returns when an upstream has first asked a node for one of the pauses that last; ok is
+// false if there is none.
+func (o *pauseOracle) askedSince(now time.Time, node int, id string) (at time.Time, ok bool) {
+	for _, p := range o.pauses[nodeUpstream{node, id}] {
+		asked := p.from.Add(-pauseGrace)
+		if p.to.After(now) && (!ok || asked.Before(at)) {
+			at, ok = asked, true
+		}
+	}
+	return at, ok
+}
+
 // arrivedInPause records a request that reaches an upstream.
 func (o *oracle) arrivedInPause(now time.Time, node int, id string) {
 	for _, p := range o.pause.pauses[nodeUpstream{node, id}] {
--- a/internal/tool/emulator/report.go
+++ b/internal/tool/emulator/report.go
@@ -17,8 +17,8 @@
 	// MaxRefusalDelay is the longest time from a submission to its refusal, as
 	// a fraction of the latency goal.
 	MaxRefusalDelay float64
-	// MaxRefusalDelayInPause is the same for refusals while all upstreams of the service ask
-	// for pauses, of requests that none of them has been offered.
+	// MaxRefusalDelayInPause is the same for requests that no upstream has been offered, from the
+	// time on at which all upstreams of the service have asked the node for pauses that last.
 	MaxRefusalDelayInPause float64
 	// Prefilled counts the prompt tokens that engines prefilled, Recomputed
 	// those of shared parts that this engine or another had prefilled before.
