--- a/internal/core/gateway/pause_load_test.go
+++ b/internal/core/gateway/pause_load_test.go
@@ -7,8 +7,12 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"monsoonlanding/internal/core/fleet"
+	"monsoonlanding/internal/core/leader"
 	"monsoonlanding/internal/core/placement"
 	"monsoonlanding/internal/core/rollout"
+	"monsoonlanding/internal/core/route"
+	"monsoonlanding/internal/core/store"
 )
 
 // pauseAll has all upstreams of the plain service ask for a pause.
@@ -274,3 +278,45 @@
 	b.Assert(b.g.rollouts["desk"].newer, qt.Equals, rollout.Evidence{})
 	b.Assert(b.g.rollouts["desk"].older, qt.Equals, rollout.Evidence{})
 }
+
+// TestPausesPassNothingOn: a request is not passed on to a node that its upstreams have not asked for
+// a pause: they would get from there what they did not want from here.
+func TestPausesPassNothingOn(t *testing.T) {
+	b := pathsBench(t)
+	b.pauseAll(3 * time.Second)
+	_, effects := b.arrive("/book/1")
+	b.Assert(refusal(effects), qt.Equals, ReasonPaused)
+	b.Assert(has(Dispatch{}, effects), qt.IsFalse)
+}
+
+// TestPausesOrderNothing: an engine that pauses is back sooner than another has started. Its pause
+// orders none and releases none.
+func TestPausesOrderNothing(t *testing.T) {
+	orders := func(pause time.Duration) []fleet.Order {
+		b := newBench(t, "a")
+		b.g.cfg.Bounds.OrdersFleet = true
+		config := testConfig(1)
+		config.Services[1].Scaling = &route.Scaling{Min: 1, Max: 6, StartTime: 4 * time.Second, ReclaimablePrice: 0.2, ZonePrices: map[string]float64{"z1": 1, "z2": 1}}
+		b.reduce(ConfigRead{Config: config, Body: []byte("1"), Source: "store"})
+		b.reduce(RolloutsChanged{})
+		b.list(up("m1", "model"), up("m2", "model"), up("m3", "model"))
+		b.acquireLease()
+		b.pauseService("model", pause)
+		var list []fleet.Order
+		for range 60 {
+			for _, e := range b.wait(TickInterval) {
+				switch e := e.(type) {
+				case OrderFleet:
+					list = append(list, e.Order)
+					b.reduce(FleetOrdered{Order: e.Order, Outcome: fleet.Accepted})
+				case WriteLease:
+					b.reduce(LeaseWritten{Result: leader.ResultOK, Stored: leader.Stored{Lease: e.Lease, Revision: store.Revision{Number: 1}}})
+				}
+			}
+		}
+		return list
+	}
+	without := orders(0)
+	qt.Assert(t, len(without) > 0, qt.IsTrue)
+	qt.Assert(t, orders(3*time.Second), qt.DeepEquals, without)
+}
--- a/internal/core/placement/pause_test.go
+++ b/internal/core/placement/pause_test.go
@@ -36,3 +36,19 @@
 	s.Expire(epoch.Add(2 * time.Minute))
 	c.Assert(s.pauses, qt.HasLen, 0)
 }
+
+// TestPausedUpstreamIsNotUsable: nodes that have a share of an upstream that pauses are not asked to
+// take requests for it.
+func TestPausedUpstreamIsNotUsable(t *testing.T) {
+	c := qt.New(t)
+	s := New("a", "z", LeastTime, Shares{}, nil)
+	for _, id := range []string{"d1", "d2"} {
+		s.Put(Upstream{ID: id, Service: "s", State: StateReady})
+	}
+	s.RecordPause(epoch, Upstream{ID: "d1"}, time.Second)
+	ready, usable := s.Usable(epoch, "s", 0)
+	c.Assert(ready, qt.DeepEquals, []Shared{{ID: "d2"}})
+	c.Assert(usable, qt.DeepEquals, ready)
+	ready, _ = s.Usable(epoch.Add(time.Second), "s", 0)
+	c.Assert(ready, qt.HasLen, 2)
+}
