peerws: a connection to a peer that goes silent is replaced within the contact bound

Cause: nothing acknowledged a message between nodes. A write into a connection that is silent without a reset succeeds until buffers are full, and a connection was redialled only on an error or after two minutes without messages. Statuses were lost in one direction for minutes, and with them usage, quota, limits, load and leaves.

Change: after it has written messages, a pool pings its peer, at most once every 500 ms; a ping that is unanswered for a second fails the connection, and the next message opens a new one. The queue of a peer takes memory only for what it holds: its channel of 4,096 places took 64 KB a peer. The other end gives up a connection without a frame for longer than its peer would keep it.

--- a/internal/wire/peerws/handler.go
+++ b/internal/wire/peerws/handler.go
@@ -46,7 +46,7 @@
 }
 
 func (h *Handler) read(ctx context.Context, conn *websocket.Conn, remote string) {
-	_, frame, err := conn.Read(ctx)
+	frame, err := readFrame(ctx, conn)
 	if err != nil {
 		return
 	}
@@ -59,7 +59,7 @@
 	from := first.From.ID
 	h.receive(from, peer.Ping{Members: []peer.Member{first.From}})
 	for {
-		_, frame, err := conn.Read(ctx)
+		frame, err := readFrame(ctx, conn)
 		if err != nil {
 			return
 		}
@@ -71,3 +71,12 @@
 		h.receive(from, m)
 	}
 }
+
+// readFrame reads the next frame. A peer closes its connection after idleTimeout, so that one
+// which stays open without a frame for longer has gone silent.
+func readFrame(ctx context.Context, conn *websocket.Conn) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, idleTimeout+dialTimeout)
+	defer cancel()
+	_, frame, err := conn.Read(ctx)
+	return frame, err
+}
--- a/internal/wire/peerws/pool.go
+++ b/internal/wire/peerws/pool.go
@@ -18,8 +18,6 @@
 const (
 	// Path is the path at which nodes accept connections from peers.
 	Path = "/peer"
-	// queueCapacity bounds the number of messages queued for one peer.
-	queueCapacity = 4096
 	// dialTimeout bounds the time to connect and to send the first frame.
 	dialTimeout = time.Second
 	// writeTimeout bounds the write of one frame to a peer that does not read.
@@ -69,7 +67,7 @@
 	key     string
 	id      string
 	address string
-	queue   chan peer.Message
+	queue   *queue
 }
 
 // New returns an empty pool.
@@ -100,7 +98,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, l := range p.links {
-		if len(l.queue) > 0 {
+		if !l.queue.isEmpty() {
 			return true
 		}
 	}
@@ -120,13 +118,11 @@
 	key := id + "@" + address
 	l := p.links[key]
 	if l == nil {
-		l = &link{key: key, id: id, address: address, queue: make(chan peer.Message, queueCapacity)}
+		l = &link{key: key, id: id, address: address, queue: newQueue()}
 		p.links[key] = l
 		p.group.Go(func() { p.run(l) })
 	}
-	select {
-	case l.queue <- m:
-	default:
+	if !l.queue.add(m) {
 		p.cfg.Log.Warn().Str("step", "peer").Str("peer", id).Msg("queue is full, message dropped")
 	}
 }
@@ -144,24 +140,35 @@
 }
 
 // serve connects to the peer and sends it the queued messages. It returns nil
-// after idleTimeout without a message, and an error if the connection fails.
+// after idleTimeout without a message, and an error if the connection fails or the
+// peer does not confirm that it receives them.
 func (p *Pool) serve(l *link) error {
 	conn, err := p.dial(l)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = conn.CloseNow() }()
-	// Peers send nothing on this connection; reading detects its end.
+	// Peers send nothing on this connection; reading detects its end and answers to pings.
 	ctx := conn.CloseRead(p.ctx)
 	idle := time.NewTimer(idleTimeout)
 	defer idle.Stop()
+	confirm := newConfirmation(conn)
+	defer confirm.stop()
 	for {
 		select {
-		case m := <-l.queue:
-			if err := p.write(ctx, conn, m); err != nil {
+		case <-l.queue.added:
+			if err := p.writeQueued(ctx, conn, l.queue); err != nil {
 				return errors.Wrapf(err, "send to %s", l.id)
 			}
 			idle.Reset(idleTimeout)
+			confirm.written()
+		case <-confirm.due.C:
+			confirm.ping(ctx)
+		case err := <-confirm.result:
+			if err != nil {
+				return errors.Wrapf(err, "confirm messages to %s", l.id)
+			}
+			confirm.answered()
 		case <-idle.C:
 			return nil
 		case <-ctx.Done():
@@ -170,6 +177,16 @@
 	}
 }
 
+// writeQueued writes the queued messages in order.
+func (p *Pool) writeQueued(ctx context.Context, conn *websocket.Conn, q *queue) error {
+	for m, ok := q.next(); ok; m, ok = q.next() {
+		if err := p.write(ctx, conn, m); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (p *Pool) dial(l *link) (*websocket.Conn, error) {
 	ctx, cancel := context.WithTimeout(p.ctx, dialTimeout)
 	defer cancel()
