run/gateway: an unexpected error ends one connection or call, not the node's feeds or slots

Here net/http keeps the process alive when a handler panics, but the request stayed in the reducer and its upstream's slot was never free again; a feed of the store that panicked ended for the life of the process without a log line, and the panic came back when the node stopped; a call that panicked left the reducer waiting for its result.

TestPanicOfHandlerEndsItsConnection and TestPanicOfReducerEndsItsConnection fail without the change of the handler and of the runner (one handler is left); the race detector finds nothing.

--- a/internal/run/gateway/execute.go
+++ b/internal/run/gateway/execute.go
@@ -3,9 +3,14 @@
 import (
 	"github.com/rs/zerolog"
 
+	"monsoonlanding/internal/core/fleet"
 	core "monsoonlanding/internal/core/gateway"
+	"monsoonlanding/internal/core/leader"
 )
 
+// Calls submit their result by a deferred function, so that the reducer, which waits for it, gets
+// one also if the call panics.
+
 // execute executes an effect. It is called under the lock and must not block.
 func (r *Runner) execute(e core.Effect) {
 	switch e := e.(type) {
@@ -38,35 +43,35 @@
 func (r *Runner) executeCall(e core.Effect) {
 	switch e := e.(type) {
 	case core.ReadLease:
-		r.group.Go(r.readLease)
+		r.goCall("read lease", r.readLease)
 	case core.WriteLease:
-		r.group.Go(func() { r.writeLease(e) })
+		r.goCall("write lease", func() { r.writeLease(e) })
 	case core.ReportUsage:
-		r.group.Go(func() { r.reportUsage(e) })
+		r.goCall("report usage", func() { r.reportUsage(e) })
 	case core.WriteRollout:
-		r.group.Go(func() { r.writeRollout(e) })
+		r.goCall("write rollout", func() { r.writeRollout(e) })
 	case core.Move:
-		r.group.Go(func() { r.move(e) })
+		r.goCall("move", func() { r.move(e) })
 	case core.OrderFleet:
-		r.group.Go(func() { r.orderFleet(e) })
+		r.goCall("order", func() { r.orderFleet(e) })
 	case core.RemoveNode:
-		r.group.Go(func() { r.removeNode(e) })
+		r.goCall("remove node", func() { r.removeNode(e) })
 	case core.ProbeUpstream:
-		r.group.Go(func() { r.probe(e) })
+		r.goCall("probe", func() { r.probe(e) })
 	case core.DropIdleConnections:
 		r.pool.CloseIdle()
 	case core.PackConfig:
-		r.group.Go(func() { r.packConfig(e) })
+		r.goCall("pack configuration", func() { r.packConfig(e) })
 	case core.UnpackConfig:
-		r.group.Go(func() { r.unpackConfig(e) })
+		r.goCall("unpack configuration", func() { r.unpackConfig(e) })
 	case core.ListFeed:
 		r.relist(e.Feed)
 	case core.RegisterNode:
-		r.group.Go(r.registerNode)
+		r.goCall("register", r.registerNode)
 	case core.ReadQuarantine:
-		r.group.Go(r.readQuarantine)
+		r.goCall("read quarantine", r.readQuarantine)
 	case core.WriteQuarantine:
-		r.group.Go(func() { r.writeQuarantine(e) })
+		r.goCall("write quarantine", func() { r.writeQuarantine(e) })
 	}
 }
 
@@ -90,59 +95,73 @@
 }
 
 func (r *Runner) readLease() {
-	read, err := r.cfg.Services.ReadLease(r.ctx)
+	read := core.LeaseRead{Result: leader.ResultUnknown}
+	defer func() { r.submit(read) }()
+	var err error
+	read, err = r.cfg.Services.ReadLease(r.ctx)
 	if err != nil {
 		r.log.Warn().Str("step", "lease").Str("result", string(read.Result)).Err(err).Msg("lease not read")
 	}
-	r.submit(read)
 }
 
 func (r *Runner) writeLease(e core.WriteLease) {
-	written, err := r.cfg.Services.WriteLease(r.ctx, e.Lease, e.IfRevision)
+	written := core.LeaseWritten{Result: leader.ResultUnknown}
+	defer func() { r.submit(written) }()
+	var err error
+	written, err = r.cfg.Services.WriteLease(r.ctx, e.Lease, e.IfRevision)
 	if err != nil {
 		r.log.Warn().Str("step", "lease").Str("result", string(written.Result)).Err(err).Msg("lease not written")
 	}
-	r.submit(written)
 }
 
 func (r *Runner) reportUsage(e core.ReportUsage) {
+	accepted := false
+	defer func() { r.submit(core.UsageReported{Window: e.Report.Window, Accepted: accepted}) }()
 	err := r.cfg.Services.ReportUsage(r.ctx, e.Report, e.Token)
+	accepted = err == nil
 	event := r.log.Info()
 	if err != nil {
 		event = r.log.Warn().Err(err)
 	}
 	event.Str("step", "usage").Int64("window", e.Report.Window).Interface("counts", e.Report.Counts).
 		Int64("token", e.Token).Msg("usage reported")
-	r.submit(core.UsageReported{Window: e.Report.Window, Accepted: err == nil})
 }
 
 func (r *Runner) move(e core.Move) {
 	startedAt := r.cfg.Clock.Now()
-	moved, err := r.cfg.Services.MoveRun(r.ctx, r.exchange, e)
-	moved.Source, moved.StartedAt = e.Source, startedAt
+	moved := core.Moved{Conn: e.Conn, Attempt: e.Attempt, Outcome: core.MoveUnknown}
+	defer func() {
+		moved.Source, moved.StartedAt = e.Source, startedAt
+		r.submit(moved)
+	}()
+	var err error
+	moved, err = r.cfg.Services.MoveRun(r.ctx, r.exchange, e)
 	if err != nil {
 		r.log.Warn().Str("step", "move").Str("request", e.Request).Str("source", e.Source.ID).Str("target", e.Target.ID).
 			Str("outcome", string(moved.Outcome)).Err(err).Msg("run not moved")
 	}
-	r.submit(moved)
 }
 
 func (r *Runner) writeRollout(e core.WriteRollout) {
-	written, err := r.cfg.Services.WriteRollout(r.ctx, e.Order)
+	written := core.RolloutWritten{Order: e.Order}
+	defer func() { r.submit(written) }()
+	var err error
+	written, err = r.cfg.Services.WriteRollout(r.ctx, e.Order)
 	if err != nil {
 		r.log.Warn().Str("step", "rollout").Str("service", e.Order.Service).Str("state", string(e.Order.State)).
 			Err(err).Msg("rollout state not written")
 	}
-	r.submit(written)
 }
 
 func (r *Runner) orderFleet(e core.OrderFleet) {
-	outcome, err := r.cfg.Services.OrderFleet(r.ctx, e.Order, e.Token)
+	outcome := fleet.Unknown
+	defer func() { r.submit(core.FleetOrdered{Order: e.Order, Outcome: outcome}) }()
+	var err error
+	outcome, err = r.cfg.Services.OrderFleet(r.ctx, e.Order, e.Token)
 	if err != nil {
 		r.log.Warn().Str("step", "fleet").Str("zone", e.Order.Zone).Bool("reclaimable", e.Order.Reclaimable).
 			Int("count", e.Order.Count).Str("outcome", string(outcome)).Err(err).Msg("fleet order failed")
 	}
-	r.submit(core.FleetOrdered{Order: e.Order, Outcome: outcome})
 }
 
 func (r *Runner) removeNode(e core.RemoveNode) {
@@ -161,19 +180,23 @@
 }
 
 func (r *Runner) readQuarantine() {
-	read, err := r.cfg.Services.ReadQuarantine(r.ctx)
+	var read core.QuarantineRead
+	defer func() { r.submit(read) }()
+	var err error
+	read, err = r.cfg.Services.ReadQuarantine(r.ctx)
 	if err != nil {
 		r.log.Warn().Str("step", "quarantine").Err(err).Msg("quarantined parts not read")
 	}
-	r.submit(read)
 }
 
 func (r *Runner) writeQuarantine(e core.WriteQuarantine) {
+	done := false
+	defer func() { r.submit(core.QuarantineWritten{Done: done}) }()
 	err := r.cfg.Services.WriteQuarantine(r.ctx, e)
+	done = err == nil
 	if err != nil {
 		r.log.Warn().Str("step", "quarantine").Err(err).Msg("quarantined parts not written")
 	}
-	r.submit(core.QuarantineWritten{Done: err == nil})
 }
 
 func (r *Runner) writeLog(e core.Log) {
--- a/internal/run/gateway/handler.go
+++ b/internal/run/gateway/handler.go
@@ -66,6 +66,7 @@
 	if !h.read() {
 		return
 	}
+	defer h.endPanicked()
 	h.addHandler()
 	disconnected := !h.serve(req.Context())
 	r.removeHandler(h, disconnected)
--- a/internal/run/gateway/relay_bench_test.go
+++ b/internal/run/gateway/relay_bench_test.go
@@ -16,7 +16,6 @@
 	"monsoonlanding/internal/core/route"
 	"monsoonlanding/internal/run/clock"
 	"monsoonlanding/internal/run/settings"
-	"monsoonlanding/internal/wire/http1"
 )
 
 // testProtocol returns a protocol of plain HTTP in which the path is the
@@ -67,7 +66,12 @@
 	if err != nil {
 		panic(err)
 	}
-	r.pool = http1.New(http1.Config{Clock: clock.System{}})
+	configure(r, addresses...)
+	return r
+}
+
+// configure gives a runner its routes and upstreams.
+func configure(r *Runner, addresses ...string) {
 	r.submit(core.ConfigRead{Config: route.Config{
 		Version: 1,
 		Routes: []route.Route{
@@ -85,7 +89,6 @@
 	}
 	list.Revision.Number = 1
 	r.submit(list)
-	return r
 }
 
 // BenchmarkStream measures a streamed answer of 70 events through a node over
--- a/internal/run/gateway/runner.go
+++ b/internal/run/gateway/runner.go
@@ -231,10 +231,10 @@
 		r.group.Go(func() { _ = s.Serve(r.listeners[i]) })
 	}
 	for _, f := range r.cfg.Services.Feeds {
-		r.group.Go(func() { r.follow(f) })
+		r.keepRunning("feed "+string(f.Name), func() { r.follow(f) })
 	}
-	r.group.Go(r.followNodes)
-	r.group.Go(r.closeIdle)
+	r.keepRunning("nodes", r.followNodes)
+	r.keepRunning("idle connections", r.closeIdle)
 	state.runner.Store(r)
 	r.log.Info().Str("step", "start").Str("callers", r.cfg.Settings.Listen.Caller).Str("zone", r.cfg.Settings.Zone).Msg("serving")
 	r.tick()
@@ -303,7 +303,7 @@
 }
 
 func (r *Runner) reduce(e core.Event) {
-	for _, effect := range r.core.Reduce(r.cfg.Clock.Now(), e) {
+	for _, effect := range r.reduceGuarded(e) {
 		r.execute(effect)
 	}
 }
