--- a/internal/wire/peerws/pool.go
+++ b/internal/wire/peerws/pool.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/panics"
 
 	"monsoonlanding/internal/core/peer"
 )
@@ -127,9 +128,13 @@
 	}
 }
 
-// run serves a link until its connection ends, and removes it.
+// run serves a link until its connection ends, and removes it. A panic, as a message that
+// can't be encoded may cause it, ends the connection like an error.
 func (p *Pool) run(l *link) {
-	err := p.serve(l)
+	var err error
+	if caught := panics.Try(func() { err = p.serve(l) }); caught != nil {
+		err = caught.AsError()
+	}
 	p.mu.Lock()
 	delete(p.links, l.key)
 	p.mu.Unlock()
