gateway, placement: what a status costs its receiver does not grow with upstreams and nodes

Cause: at 195 nodes and 123 upstreams each received status was applied to all upstreams, which a peer hardly uses, and looked at all members for a newer configuration; each status that was sent sorted the members and their clocks several times.

Change: an upstream keeps the sum of what peers report, changed by the upstreams that the peer used; a status asks for a configuration only if its sender has a newer one; the members are kept in order.

--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -118,12 +118,14 @@
 	quarantineStore quarantineStore
 	goals           goals
 
-	members  map[string]*member
-	spread   configSpread
-	quotas   map[string]*teamQuota
-	lease    *leader.Elector
-	usage    usage
-	planners map[string]*fleet.Planner
+	members map[string]*member
+	// memberOrder holds the members in order of name.
+	memberOrder []*member
+	spread      configSpread
+	quotas      map[string]*teamQuota
+	lease       *leader.Elector
+	usage       usage
+	planners    map[string]*fleet.Planner
 	// rollouts holds the rollouts by service.
 	rollouts map[string]*rolloutState
 	// paces holds the usual times of answers, by route.
--- a/internal/core/gateway/leaving.go
+++ b/internal/core/gateway/leaving.go
@@ -47,6 +47,9 @@
 // announcedLeaves returns the listed processes that have said that they leave, for the
 // peers.
 func (g *Gateway) announcedLeaves() []uint64 {
+	if len(g.leaves) == 0 {
+		return nil
+	}
 	var list []uint64
 	for _, u := range g.upstreams.All() {
 		process := processID(u)
--- a/internal/core/gateway/members.go
+++ b/internal/core/gateway/members.go
@@ -101,14 +101,10 @@
 	return before == 0
 }
 
-func (g *Gateway) sortedMembers() []*member {
-	list := make([]*member, 0, len(g.members))
-	for _, m := range g.members {
-		list = append(list, m)
-	}
-	slices.SortFunc(list, func(a, b *member) int { return strings.Compare(a.node, b.node) })
-	return list
-}
+// sortedMembers returns the members in order of name. The caller must not change the list.
+func (g *Gateway) sortedMembers() []*member { return g.memberOrder }
+
+func compareMembers(a, b *member) int { return strings.Compare(a.node, b.node) }
 
 // addMember returns the member of that name and adds it if it is not known.
 func (g *Gateway) addMember(node, address string) *member {
@@ -116,6 +112,9 @@
 	if m == nil {
 		m = &member{node: node, addedAt: g.now}
 		g.members[node] = m
+		at, _ := slices.BinarySearchFunc(g.memberOrder, m, compareMembers)
+		// The list may be in use, so it is copied.
+		g.memberOrder = slices.Insert(slices.Clone(g.memberOrder), at, m)
 		g.log("member", "node known", "peer", node, "address", address)
 	}
 	if address != "" {
@@ -143,6 +142,7 @@
 			continue
 		}
 		delete(g.members, m.node)
+		g.memberOrder = slices.DeleteFunc(slices.Clone(g.memberOrder), func(other *member) bool { return other == m })
 		g.upstreams.RemovePeer(m.node)
 		g.quarantine.RemovePeer(m.node)
 		g.log("member", "node forgotten", "peer", m.node)
--- a/internal/core/gateway/relay.go
+++ b/internal/core/gateway/relay.go
@@ -104,7 +104,7 @@
 		}
 		return g.relaysAt[m.node] < g.relaysAt[best.node]
 	}
-	list := g.sortedMembers()
+	list := slices.Clone(g.sortedMembers())
 	g.rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	for _, m := range list {
 		if selected(m) && !slices.Contains(r.relaysTried, m.node) && better(m) {
--- a/internal/core/gateway/status.go
+++ b/internal/core/gateway/status.go
@@ -20,6 +20,7 @@
 )
 
 func (g *Gateway) status() peer.Status {
+	clusterTime := g.clusterTime()
 	s := peer.Status{
 		Node:              g.cfg.Node,
 		Start:             g.cfg.Start,
@@ -32,7 +33,7 @@
 		UpstreamsRevision: g.ownRevision(g.changedRevision),
 		StoreGeneration:   g.storeGeneration,
 		StoreUnavailable:  g.storeDown,
-		Time:              g.clusterTime(),
+		Time:              clusterTime,
 		Quarantine:        g.quarantine.Report(g.now),
 		KnownNodes:        g.sampleMembers(),
 		Rollouts:          g.rolloutStatuses(),
@@ -60,8 +61,8 @@
 	for name, w := range g.work {
 		s.EngineLoad = append(s.EngineLoad, peer.ServiceEngineLoad{Service: name, Engines: w.engines(g.now)})
 	}
-	last := g.usage.counter.Window(g.clusterTime())
-	for w, counts := range g.usage.counter.Latest(g.clusterTime()) {
+	last := g.usage.counter.Window(clusterTime)
+	for w, counts := range g.usage.counter.Latest(clusterTime) {
 		if w > last-statusWindows {
 			s.Usage = append(s.Usage, peer.UsageWindow{Window: w, Counts: counts})
 		}
@@ -164,7 +165,9 @@
 	}
 	g.confirmFailures(s)
 	g.probeForPeer(s)
-	g.fetchConfig()
+	if m.configVersion() > g.table.Version() {
+		g.fetchConfig()
+	}
 	g.relistIfBehind(m)
 }
 
--- a/internal/core/placement/load.go
+++ b/internal/core/placement/load.go
@@ -36,13 +36,35 @@
 
 // load returns the sum of the load that all nodes have placed at the upstream.
 func (m *member) load() UpstreamLoad {
-	sum := m.ownLoad()
-	for _, p := range m.peers {
-		sum.Running += p.Running
-		sum.Prefill += p.Prefill
-		sum.Memory += p.Memory
+	return m.ownLoad().plus(m.peerLoad)
+}
+
+// plus returns the sum of two loads.
+func (load UpstreamLoad) plus(other UpstreamLoad) UpstreamLoad {
+	return UpstreamLoad{
+		Running: load.Running + other.Running,
+		Prefill: load.Prefill + other.Prefill,
+		Memory:  load.Memory + other.Memory,
 	}
-	return sum
+}
+
+// minus returns the difference of two loads.
+func (load UpstreamLoad) minus(other UpstreamLoad) UpstreamLoad {
+	return UpstreamLoad{
+		Running: load.Running - other.Running,
+		Prefill: load.Prefill - other.Prefill,
+		Memory:  load.Memory - other.Memory,
+	}
+}
+
+// setPeerLoad replaces the load that a peer has placed at the upstream.
+func (m *member) setPeerLoad(node string, load UpstreamLoad) {
+	m.peerLoad = m.peerLoad.minus(m.peers[node]).plus(load)
+	if load == (UpstreamLoad{}) {
+		delete(m.peers, node)
+		return
+	}
+	m.peers[node] = load
 }
 
 // ownLoad returns the load that this node has placed at the upstream.
@@ -142,20 +164,24 @@
 	return loads
 }
 
-// SetPeerLoads replaces the load that a peer has placed at the upstreams.
+// SetPeerLoads replaces the load that a peer has placed at the upstreams. Its cost grows with
+// the upstreams that the peer uses, not with all: each node receives many statuses a second.
 func (s *Set) SetPeerLoads(node string, loads map[string]UpstreamLoad) {
-	for id, m := range s.members {
-		if p, ok := loads[id]; ok {
-			m.peers[node] = p
-			continue
+	s.RemovePeer(node)
+	used := make([]*member, 0, len(loads))
+	for id, load := range loads {
+		if m := s.members[id]; m != nil {
+			m.setPeerLoad(node, load)
+			used = append(used, m)
 		}
-		delete(m.peers, node)
 	}
+	s.usedByPeers[node] = used
 }
 
-// RemovePeer removes the load that a former peer has placed at the upstreams.
+// RemovePeer removes the load that a peer has placed at the upstreams.
 func (s *Set) RemovePeer(node string) {
-	for _, m := range s.members {
-		delete(m.peers, node)
+	for _, m := range s.usedByPeers[node] {
+		m.setPeerLoad(node, UpstreamLoad{})
 	}
+	delete(s.usedByPeers, node)
 }
--- a/internal/core/placement/set.go
+++ b/internal/core/placement/set.go
@@ -14,8 +14,9 @@
 	Upstream
 	// running holds this node's requests there by number.
 	running map[uint64]*activeRequest
-	// peers holds the load that each peer has reported.
-	peers map[string]UpstreamLoad
+	// peers holds the load that each peer has reported, peerLoad the sum of them.
+	peers    map[string]UpstreamLoad
+	peerLoad UpstreamLoad
 	// parts holds the time of last use of each prompt part.
 	parts map[string]time.Time
 	// errors is the moving average of the error rate.
@@ -53,6 +54,8 @@
 	// sorted holds the members in order of ID, so that the choices are
 	// deterministic.
 	sorted []*member
+	// usedByPeers holds the upstreams at which each peer has reported load.
+	usedByPeers map[string][]*member
 	// brittleServices holds what an upstream of each service has named last of its
 	// brittleness.
 	brittleServices map[string]RateLimit
@@ -78,7 +81,7 @@
 func New(self, zone string, cost Cost, shares Shares, rng *rand.Rand) *Set {
 	return &Set{
 		self: self, zone: zone, cost: cost, shares: shares, rng: rng,
-		members: make(map[string]*member), estimators: make(map[string]*speedEstimator),
+		members: make(map[string]*member), usedByPeers: make(map[string][]*member), estimators: make(map[string]*speedEstimator),
 		brittleServices: make(map[string]RateLimit), pauses: make(map[process]*pause),
 	}
 }
