peerws, gateway: a lost node is known within the contact bound among hundreds

Cause: a node counts as silent after four intervals without a status, and the interval grows with the nodes: 7.8 s among 195 and 13.6 s among 340, while machines must know within 5 s. Until then callers are sent there and its shares are reserved.

Change: a connection that fails after it has worked is replaced at once; if no new one can be opened, the pool reports the peer as unreachable. Such a peer is out of contact after 1.4 intervals without a status, which is more than the time between two of them: a peer that this node reaches no more but hears stays in contact.

TestLostPeerIsReported (power, process ended, connection reset or silent alone) and TestLostNodeIsKnownWithinTheContactBound (7, 60, 195, 340 nodes) need the new event.

--- a/internal/core/gateway/event.go
+++ b/internal/core/gateway/event.go
@@ -216,6 +216,9 @@
 	Message peer.Message
 }
 
+// PeerUnreachable reports that no connection to a node could be opened.
+type PeerUnreachable struct{ Node string }
+
 // LeaseRead answers a ReadLease.
 type LeaseRead struct {
 	Result leader.Result
@@ -277,6 +280,7 @@
 func (StoreRegained) event()     {}
 func (NodesListed) event()       {}
 func (PeerReceived) event()      {}
+func (PeerUnreachable) event()   {}
 func (LeaseRead) event()         {}
 func (LeaseWritten) event()      {}
 func (UsageReported) event()     {}
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -220,6 +220,8 @@
 		g.handlerEnded(e)
 	case PeerReceived:
 		g.peerReceived(e)
+	case PeerUnreachable:
+		g.peerUnreachable(e.Node)
 	case Stop:
 		g.stop()
 	default:
--- a/internal/core/gateway/members.go
+++ b/internal/core/gateway/members.go
@@ -22,6 +22,10 @@
 	// silentIntervals is the number of intervals without a status after which a
 	// peer counts as silent.
 	silentIntervals = 4
+	// unreachableIntervals is the number of intervals without a status after which a peer counts
+	// as silent to which no connection can be opened. It is more than the time between two
+	// statuses, so that a peer that is reached in one direction only stays in contact.
+	unreachableIntervals = 1.4
 	// silentPeerInterval is the minimum interval between two statuses to a
 	// silent peer.
 	silentPeerInterval = time.Second
@@ -37,6 +41,8 @@
 	status      peer.Status
 	lastContact time.Time
 	sentAt      time.Time
+	// unreachable is set if no connection to the node could be opened since its latest status.
+	unreachable bool
 	// storeRegainedAt is when the node first reported that it reaches the store
 	// again.
 	storeRegainedAt time.Time
@@ -58,7 +64,22 @@
 // contactWithin reports whether a status of the member was received within a
 // number of intervals.
 func (g *Gateway) contactWithin(m *member, intervals int) bool {
-	return !m.lastContact.IsZero() && g.now.Sub(m.lastContact) < time.Duration(intervals)*g.interval()
+	limit := time.Duration(intervals) * g.interval()
+	if m.unreachable {
+		limit = min(limit, time.Duration(unreachableIntervals*float64(g.interval())))
+	}
+	return !m.lastContact.IsZero() && g.now.Sub(m.lastContact) < limit
+}
+
+// peerUnreachable notes that a node can't be reached. Among many nodes the interval between two
+// statuses is long, and several of them are longer than a lost node may stay unnoticed.
+func (g *Gateway) peerUnreachable(node string) {
+	m := g.members[node]
+	if m == nil || m.unreachable {
+		return
+	}
+	m.unreachable = true
+	g.log("member", "node can't be reached", "peer", node, "silent_ms", g.now.Sub(m.lastContact).Milliseconds())
 }
 
 // contactCount counts this node and the members whose status was received
--- a/internal/core/gateway/members_test.go
+++ b/internal/core/gateway/members_test.go
@@ -68,3 +68,39 @@
 		}
 	}
 }
+
+// TestLostNodeIsKnownWithinTheContactBound guards against a node among hundreds that callers are
+// sent to, and whose shares are reserved, for many seconds after it has lost power: its silence
+// shows only after several intervals, which grow with the nodes. A node that is reached in one
+// direction only is not lost.
+func TestLostNodeIsKnownWithinTheContactBound(t *testing.T) {
+	const contactBound = 5 * time.Second
+	for _, nodes := range []int{7, 60, 195, 340} {
+		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
+			b := newBench(t, "n0")
+			b.ready()
+			for n := 1; n < nodes; n++ {
+				b.receive(status(fmt.Sprint("n", n)))
+			}
+			inContact := func(node string) bool { return b.g.inContact(b.g.members[node]) }
+			send := func(node string) {
+				s := status(node)
+				s.Seq = uint64(b.now.UnixNano())
+				b.receive(s)
+			}
+			lostAt := b.now
+			oneWaySentAt := b.now
+			for b.now.Sub(lostAt) < contactBound {
+				b.wait(TickInterval)
+				if b.now.Sub(oneWaySentAt) >= b.g.interval()*5/4 {
+					send("n2")
+					oneWaySentAt = b.now
+				}
+				b.reduce(PeerUnreachable{Node: "n1"})
+				b.reduce(PeerUnreachable{Node: "n2"})
+				b.Assert(inContact("n2"), qt.IsTrue, qt.Commentf("after %v", b.now.Sub(lostAt)))
+			}
+			b.Assert(inContact("n1"), qt.IsFalse)
+		})
+	}
+}
--- a/internal/core/gateway/status.go
+++ b/internal/core/gateway/status.go
@@ -139,7 +139,7 @@
 		m.storeRegainedAt = g.now
 	}
 	m.status = s
-	m.lastContact = g.now
+	m.lastContact, m.unreachable = g.now, false
 	if s.Ready != wasReady {
 		g.log("member", "node readiness changed", "peer", s.Node, "ready", s.Ready)
 	}
--- a/internal/run/gateway/runner.go
+++ b/internal/run/gateway/runner.go
@@ -125,19 +125,22 @@
 		follow(r.storeGeneration, r.invalidGeneration)
 	}
 	var err error
-	r.peers, err = newPeers(s, r.log)
+	r.peers, err = r.newPeers()
 	return r, err
 }
 
-func newPeers(s settings.Gateway, log zerolog.Logger) (*peerws.Pool, error) {
+func (r *Runner) newPeers() (*peerws.Pool, error) {
+	s := r.cfg.Settings
 	codec, err := peerws.NewCodec()
 	if err != nil {
 		return nil, err
 	}
 	return peerws.New(peerws.Config{
 		Self:  peer.Member{ID: s.Name, PeerAddress: s.Listen.Peer, Zone: s.Zone},
-		Token: s.Peers.Token, Codec: codec, Log: log,
-		OnFailure: func(string) {}, OnSend: func(int) {},
+		Token: s.Peers.Token, Codec: codec, Log: r.log,
+		OnFailure:     func(string) {},
+		OnUnreachable: func(id string) { r.submit(core.PeerUnreachable{Node: id}) },
+		OnSend:        func(int) {},
 	}), nil
 }
 
--- a/internal/run/node/runner.go
+++ b/internal/run/node/runner.go
@@ -175,7 +175,9 @@
 	r.peers = peerws.New(peerws.Config{
 		Self: r.self, Token: s.Peers.Token, Codec: codec, Log: r.log,
 		OnFailure: func(id string) { r.submit(node.PeerUnreachable{Peer: id}) },
-		OnSend:    func(bytes int) { countPeerMessage(bytes) },
+		// PeerUnreachable is submitted for each connection that fails.
+		OnUnreachable: func(string) {},
+		OnSend:        func(bytes int) { countPeerMessage(bytes) },
 	})
 	receive := func(from string, m peer.Message) { r.receive(node.PeerReceived{From: from, Message: m}) }
 	peerMux := http.NewServeMux()
--- a/internal/wire/peerws/pool.go
+++ b/internal/wire/peerws/pool.go
@@ -47,6 +47,8 @@
 	// OnFailure is called when a connection to a node has failed; messages to the
 	// node may have been lost.
 	OnFailure func(id string)
+	// OnUnreachable is called when no connection to a node could be opened.
+	OnUnreachable func(id string)
 	// OnSend is called with the size of each frame before it is written.
 	OnSend func(bytes int)
 	Log    zerolog.Logger
@@ -107,8 +109,7 @@
 }
 
 // Send queues a message for a node. The message is dropped if the queue is full.
-// If the connection fails, all queued messages are dropped and the pool calls
-// Config.OnFailure. With an empty id, any node that listens at the address
+// If the connection fails, messages may be lost and the pool calls Config.OnFailure. With an empty id, any node that listens at the address
 // receives the message.
 func (p *Pool) Send(id, address string, m peer.Message) {
 	p.mu.Lock()
@@ -131,27 +132,50 @@
 // run serves a link until its connection ends, and removes it. A panic, as a message that
 // can't be encoded may cause it, ends the connection like an error.
 func (p *Pool) run(l *link) {
-	var err error
-	if caught := panics.Try(func() { err = p.serve(l) }); caught != nil {
-		err = caught.AsError()
+	if caught := panics.Try(func() { p.serve(l) }); caught != nil {
+		p.reportFailure(l, caught.AsError())
 	}
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	delete(p.links, l.key)
-	p.mu.Unlock()
-	if err != nil && p.ctx.Err() == nil {
-		p.cfg.Log.Debug().Str("step", "peer").Str("peer", l.id).Err(err).Msg("connection failed")
-		p.cfg.OnFailure(l.id)
+}
+
+// serve keeps a link connected. A connection that fails after it has worked is replaced at
+// once: if it failed alone, the peer gets the messages that are still queued, otherwise the
+// peer is known to be unreachable.
+func (p *Pool) serve(l *link) {
+	for {
+		conn, err := p.dial(l)
+		if err != nil {
+			p.reportFailure(l, err)
+			if p.ctx.Err() == nil {
+				p.cfg.OnUnreachable(l.id)
+			}
+			return
+		}
+		confirmed, err := p.serveConn(l, conn)
+		if err == nil {
+			return
+		}
+		p.reportFailure(l, err)
+		if !confirmed || p.ctx.Err() != nil {
+			return
+		}
 	}
 }
 
-// serve connects to the peer and sends it the queued messages. It returns nil
-// after idleTimeout without a message, and an error if the connection fails or the
-// peer does not confirm that it receives them.
-func (p *Pool) serve(l *link) error {
-	conn, err := p.dial(l)
-	if err != nil {
-		return err
+func (p *Pool) reportFailure(l *link, err error) {
+	if p.ctx.Err() != nil {
+		return
 	}
+	p.cfg.Log.Debug().Str("step", "peer").Str("peer", l.id).Err(err).Msg("connection failed")
+	p.cfg.OnFailure(l.id)
+}
+
+// serveConn sends the peer the queued messages. It returns nil after idleTimeout without a
+// message, and an error if the connection fails or the peer does not confirm that it receives
+// them. confirmed is set if the peer has confirmed any.
+func (p *Pool) serveConn(l *link, conn *websocket.Conn) (confirmed bool, err error) {
 	defer func() { _ = conn.CloseNow() }()
 	// Peers send nothing on this connection; reading detects its end and answers to pings.
 	ctx := conn.CloseRead(p.ctx)
@@ -163,7 +187,7 @@
 		select {
 		case <-l.queue.added:
 			if err := p.writeQueued(ctx, conn, l.queue); err != nil {
-				return errors.Wrapf(err, "send to %s", l.id)
+				return confirmed, errors.Wrapf(err, "send to %s", l.id)
 			}
 			idle.Reset(idleTimeout)
 			confirm.written()
@@ -171,13 +195,14 @@
 			confirm.ping(ctx)
 		case err := <-confirm.result:
 			if err != nil {
-				return errors.Wrapf(err, "confirm messages to %s", l.id)
+				return confirmed, errors.Wrapf(err, "confirm messages to %s", l.id)
 			}
+			confirmed = true
 			confirm.answered()
 		case <-idle.C:
-			return nil
+			return confirmed, nil
 		case <-ctx.Done():
-			return errors.Errorf("connection to %s ended", l.id)
+			return confirmed, errors.Errorf("connection to %s ended", l.id)
 		}
 	}
 }
--- a/internal/wire/peerws/silent_test.go
+++ b/internal/wire/peerws/silent_test.go
@@ -64,7 +64,7 @@
 	c.Cleanup(proxy.Close)
 	a := New(Config{
 		Self: peer.Member{ID: "a"}, Token: "token", Codec: codec, Log: zerolog.Nop(),
-		OnFailure: func(string) {}, OnSend: func(int) {},
+		OnFailure: func(string) {}, OnUnreachable: func(string) {}, OnSend: func(int) {},
 	})
 	c.Cleanup(a.Close)
 
@@ -99,3 +99,49 @@
 	}
 	c.Assert(b.opened.Load(), qt.Equals, int64(2))
 }
+
+// TestLostPeerIsReported: a peer that can't be reached at all is reported within the contact
+// bound of its last message, one whose connection is reset or goes silent alone is not.
+func TestLostPeerIsReported(t *testing.T) {
+	tests := []struct {
+		name string
+		fail func(*faultproxy.Proxy)
+		lost bool
+	}{
+		{"machine without power", func(p *faultproxy.Proxy) { p.SetFault(faultproxy.Silent) }, true},
+		{"process that has ended", func(p *faultproxy.Proxy) { p.Close() }, true},
+		{"connection reset", func(p *faultproxy.Proxy) { p.ResetOpen() }, false},
+		{"connection silent", func(p *faultproxy.Proxy) { p.SilenceOpen() }, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			codec, err := NewCodec()
+			c.Assert(err, qt.IsNil)
+			b := newReceiver(c, codec)
+			proxy := faultproxy.New(b.server.Listener.Addr().String())
+			c.Cleanup(proxy.Close)
+			lost := make(chan string, 10)
+			a := New(Config{
+				Self: peer.Member{ID: "a"}, Token: "token", Codec: codec, Log: zerolog.Nop(),
+				OnFailure: func(string) {}, OnUnreachable: func(id string) { lost <- id }, OnSend: func(int) {},
+			})
+			c.Cleanup(a.Close)
+			a.Send("b", proxy.Address(), peer.Status{Node: "a", Seq: 1})
+			_, ok := b.next(contactBound)
+			c.Assert(ok, qt.IsTrue)
+			// The first messages are confirmed.
+			time.Sleep(100 * time.Millisecond)
+			test.fail(proxy)
+			a.Send("b", proxy.Address(), peer.Status{Node: "a", Seq: 2})
+			select {
+			case id := <-lost:
+				c.Assert(test.lost, qt.IsTrue, qt.Commentf("reported although new connections work"))
+				c.Assert(id, qt.Equals, "b")
+			case <-time.After(contactBound):
+				c.Assert(test.lost, qt.IsFalse)
+			}
+		})
+	}
+}
