gateway, peer: among many nodes statuses to other zones are forwarded there

Cause: each node sent its status to every node of all other zones.

Change: where another zone has eight nodes that can forward, a node sends its status to one of two of them in turn, by rendezvous; that one sends it on to its zone. All nodes still get all statuses, at the same pace and with the same content. Nodes that can't be reached are named in statuses, as nodes of other zones send them nothing. Builds that know no forwards get statuses directly.

--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -121,11 +121,13 @@
 	members map[string]*member
 	// memberOrder holds the members in order of name.
 	memberOrder []*member
-	spread      configSpread
-	quotas      map[string]*teamQuota
-	lease       *leader.Elector
-	usage       usage
-	planners    map[string]*fleet.Planner
+	// forwardTurns holds the latest status to each zone in which statuses are forwarded.
+	forwardTurns map[string]forwardTurn
+	spread       configSpread
+	quotas       map[string]*teamQuota
+	lease        *leader.Elector
+	usage        usage
+	planners     map[string]*fleet.Planner
 	// rollouts holds the rollouts by service.
 	rollouts map[string]*rolloutState
 	// paces holds the usual times of answers, by route.
@@ -169,6 +171,7 @@
 		quarantine:    quarantine.New(),
 		goals:         make(goals),
 		members:       make(map[string]*member),
+		forwardTurns:  make(map[string]forwardTurn),
 		quotas:        make(map[string]*teamQuota),
 		lease:         leader.New(cfg.Node, cfg.Start, cfg.Bounds.LeaseTerm),
 		usage:         newUsage(cfg.Bounds.UsageWindow),
--- a/internal/core/gateway/members.go
+++ b/internal/core/gateway/members.go
@@ -41,8 +41,9 @@
 	status      peer.Status
 	lastContact time.Time
 	sentAt      time.Time
-	// unreachable is set if no connection to the node could be opened since its latest status.
-	unreachable bool
+	// unreachable is set if no connection to the node could be opened since its latest status,
+	// reportedUnreachable if a node in its zone has reported so.
+	unreachable, reportedUnreachable bool
 	// storeRegainedAt is when the node first reported that it reaches the store
 	// again.
 	storeRegainedAt time.Time
@@ -65,7 +66,7 @@
 // number of intervals.
 func (g *Gateway) contactWithin(m *member, intervals int) bool {
 	limit := time.Duration(intervals) * g.interval()
-	if m.unreachable {
+	if m.unreachable || m.reportedUnreachable {
 		limit = min(limit, time.Duration(unreachableIntervals*float64(g.interval())))
 	}
 	return !m.lastContact.IsZero() && g.now.Sub(m.lastContact) < limit
@@ -190,8 +191,12 @@
 			q.published = q.spent
 		}
 	}
+	zones, readers := g.forwarded(), g.usageReaders()
 	var recipients []*member
 	for _, m := range g.sortedMembers() {
+		if zones.covers(m) && g.inContact(m) && !readers[m.node] {
+			continue
+		}
 		if broadcast || g.statusDue(m) {
 			if g.inContact(m) || g.now.Sub(m.sentAt) >= silentPeerInterval {
 				recipients = append(recipients, m)
@@ -201,6 +206,7 @@
 	if len(recipients) > 0 {
 		g.sendStatus(recipients)
 	}
+	g.sendToForwarders(zones, broadcast, readers == nil)
 	g.contactSeeds()
 }
 
@@ -212,7 +218,7 @@
 	withoutUsage.Usage, withoutUsage.Report = nil, nil
 	readers := g.usageReaders()
 	for _, m := range members {
-		m.sentAt = g.now.Add(-time.Duration(g.rng.Int64N(int64(g.interval() / statusJitterDivisor))))
+		m.sentAt = g.now.Add(-g.turnShift())
 		message := withoutUsage
 		if readers == nil || readers[m.node] {
 			message = status
@@ -221,6 +227,11 @@
 	}
 }
 
+// turnShift returns a random shift of a turn to send a status, so that turns spread.
+func (g *Gateway) turnShift() time.Duration {
+	return time.Duration(g.rng.Int64N(int64(g.interval() / statusJitterDivisor)))
+}
+
 // statusDue reports whether it is the member's turn to receive a status.
 func (g *Gateway) statusDue(m *member) bool { return g.now.Sub(m.sentAt) >= g.interval() }
 
--- a/internal/core/gateway/status.go
+++ b/internal/core/gateway/status.go
@@ -42,6 +42,8 @@
 		Departed:          g.departedProcesses(),
 		TakesParts:        true,
 		TakesRelays:       true,
+		TakesForwards:     true,
+		Unreachable:       g.unreachableNodes(),
 		PathsLost:         g.paths.lost,
 		Unreached:         g.unreached(),
 		Reached:           g.reachedForPeers(),
@@ -110,6 +112,8 @@
 	switch m := e.Message.(type) {
 	case peer.Status:
 		g.statusReceived(m)
+	case peer.StatusForward:
+		g.forwardReceived(m)
 	case peer.UpstreamsDelta:
 		g.deltaReceived(e.From, m)
 	case peer.ConfigNotice:
@@ -123,14 +127,15 @@
 	}
 }
 
-func (g *Gateway) statusReceived(s peer.Status) {
+// statusReceived takes a peer's status. It reports whether it is the latest one.
+func (g *Gateway) statusReceived(s peer.Status) (latest bool) {
 	if s.Node == g.cfg.Node {
-		return
+		return false
 	}
 	m := g.addMember(s.Node, s.PeerAddress)
 	if s.Start < m.status.Start || s.Start == m.status.Start && s.Seq > 0 && s.Seq <= m.status.Seq {
 		// A later one has overtaken it on another connection.
-		return
+		return false
 	}
 	g.storeGenerationRead(s.StoreGeneration)
 	wasReady := m.status.Ready
@@ -139,7 +144,8 @@
 		m.storeRegainedAt = g.now
 	}
 	m.status = s
-	m.lastContact, m.unreachable = g.now, false
+	m.lastContact = g.now
+	m.unreachable, m.reportedUnreachable = false, false
 	if s.Ready != wasReady {
 		g.log("member", "node readiness changed", "peer", s.Node, "ready", s.Ready)
 	}
@@ -169,6 +175,12 @@
 		g.fetchConfig()
 	}
 	g.relistIfBehind(m)
+	for _, node := range s.Unreachable {
+		if other := g.members[node]; other != nil {
+			other.reportedUnreachable = true
+		}
+	}
+	return true
 }
 
 // deductPeerSpending subtracts from the quotas the units that the peer has
--- a/internal/core/peer/status.go
+++ b/internal/core/peer/status.go
@@ -67,6 +67,10 @@
 	Reached   []ReachedUpstream `cbor:"31,keyasint,omitempty"`
 	// TakesRelays is set if the sender takes requests that other nodes pass on.
 	TakesRelays bool `cbor:"29,keyasint,omitempty"`
+	// TakesForwards is set if the sender takes a StatusForward.
+	TakesForwards bool `cbor:"33,keyasint,omitempty"`
+	// Unreachable holds the nodes in the sender's zone to which it can open no connection.
+	Unreachable []string `cbor:"34,keyasint,omitempty"`
 	// Departed holds the processes of upstreams that are gone, for some seconds after the
 	// store was restored.
 	Departed []uint64 `cbor:"24,keyasint,omitempty"`
@@ -79,6 +83,12 @@
 	EngineLoad []ServiceEngineLoad `cbor:"16,keyasint,omitempty"`
 }
 
+// StatusForward asks the receiver to forward the status of a node in another availability zone to
+// the nodes in its own.
+type StatusForward struct {
+	Status Status `cbor:"1,keyasint"`
+}
+
 // ReachedUpstream is the process of an upstream, with the time since it has last answered.
 type ReachedUpstream struct {
 	Process uint64        `cbor:"1,keyasint"`
@@ -216,6 +226,7 @@
 }
 
 func (Status) peerMessage()         {}
+func (StatusForward) peerMessage()  {}
 func (UpstreamsDelta) peerMessage() {}
 func (ConfigNotice) peerMessage()   {}
 func (ConfigRequest) peerMessage()  {}
--- a/internal/wire/peerws/codec.go
+++ b/internal/wire/peerws/codec.go
@@ -50,6 +50,7 @@
 	peer.ConfigNotice{},
 	peer.ConfigPart{},
 	peer.ConfigBusy{},
+	peer.StatusForward{},
 }
 
 // Codec encodes and decodes messages, each with a CBOR tag for its type.
