gateway: reads of the list of nodes do not grow with the nodes

Cause: each node read the list every 5 s, so that 195 nodes read its four pages 39 times a second; each call is priced.

Change: while the list names this node and no unknown one, a node reads it at most once in 100 ms times the nodes, ten reads a second of all nodes together. Nodes learn of each other from statuses as well. TestReadsOfTheListOfNodesAreBounded: 7, 60, 195 and 340 nodes.

--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -121,6 +121,8 @@
 	members map[string]*member
 	// memberOrder holds the members in order of name.
 	memberOrder []*member
+	// nodesKnown is set if the latest list of nodes named this node and no unknown one.
+	nodesKnown bool
 	// forwardTurns holds the latest status to each zone in which statuses are forwarded.
 	forwardTurns map[string]forwardTurn
 	spread       configSpread
--- a/internal/core/gateway/members.go
+++ b/internal/core/gateway/members.go
@@ -29,6 +29,10 @@
 	// silentPeerInterval is the minimum interval between two statuses to a
 	// silent peer.
 	silentPeerInterval = time.Second
+	// minNodesInterval is the minimum mean interval between two reads of the list of nodes.
+	// nodesIntervalPerNode times the number of nodes is the interval if that is longer.
+	minNodesInterval     = 5 * time.Second
+	nodesIntervalPerNode = 100 * time.Millisecond
 	// nodeExpiry is the time without a status after which a node's entry is
 	// removed from the platform.
 	nodeExpiry = 20 * time.Second
@@ -149,12 +153,14 @@
 // longer contains are removed.
 func (g *Gateway) nodesListed(e NodesListed) {
 	listed := make(map[string]bool, len(e.Nodes))
+	before := len(g.members)
 	for _, n := range e.Nodes {
 		listed[n.Node] = true
 		if n.Node != g.cfg.Node {
 			g.addMember(n.Node, n.PeerAddress)
 		}
 	}
+	g.nodesKnown = len(g.members) == before && listed[g.cfg.Node]
 	if !listed[g.cfg.Node] && !g.stopping {
 		g.emit(RegisterNode{})
 	}
@@ -171,6 +177,16 @@
 	}
 }
 
+// NodesInterval returns the mean interval at which this node reads the list of nodes. While the
+// list tells nothing new, the reads of all nodes together are bounded: nodes learn of each other
+// from statuses as well.
+func (g *Gateway) NodesInterval() time.Duration {
+	if !g.nodesKnown {
+		return minNodesInterval
+	}
+	return max(minNodesInterval, time.Duration(len(g.members)+1)*nodesIntervalPerNode)
+}
+
 // scheduleBroadcast schedules a status to all peers after the given delay,
 // unless an earlier one is scheduled.
 func (g *Gateway) scheduleBroadcast(in time.Duration) {
--- a/internal/core/gateway/members_test.go
+++ b/internal/core/gateway/members_test.go
@@ -104,3 +104,25 @@
 		})
 	}
 }
+
+// TestReadsOfTheListOfNodesAreBounded: the nodes together read the list at most ten times a second
+// however many they are, as soon as it tells them nothing new; a node that is missing from the
+// list or has just learned of another one reads it again soon.
+func TestReadsOfTheListOfNodesAreBounded(t *testing.T) {
+	const maxReads = 10.001
+	for _, nodes := range []int{7, 60, 195, 340} {
+		b := newBench(t, "n0")
+		b.ready()
+		var entries []NodeEntry
+		for n := range nodes {
+			entries = append(entries, NodeEntry{Node: fmt.Sprint("n", n), PeerAddress: "a"})
+		}
+		b.reduce(NodesListed{Nodes: entries})
+		b.Assert(b.g.NodesInterval(), qt.Equals, minNodesInterval)
+		b.reduce(NodesListed{Nodes: entries})
+		reads := float64(nodes) / b.g.NodesInterval().Seconds()
+		b.Assert(reads <= maxReads, qt.IsTrue, qt.Commentf("%d nodes, %.1f reads a second", nodes, reads))
+		b.Assert(has(RegisterNode{}, b.reduce(NodesListed{Nodes: entries[1:]})), qt.IsTrue)
+		b.Assert(b.g.NodesInterval(), qt.Equals, minNodesInterval)
+	}
+}
--- a/internal/run/gateway/feed.go
+++ b/internal/run/gateway/feed.go
@@ -19,8 +19,6 @@
 	// turnCheckInterval is the interval at which a waiting node checks for an
 	// assignment to watch the store.
 	turnCheckInterval = 500 * time.Millisecond
-	// nodesInterval is the mean interval between reads of the list of nodes.
-	nodesInterval = 5 * time.Second
 )
 
 // follow submits the changes of a feed until the node stops.
@@ -186,6 +184,13 @@
 		} else {
 			r.submit(listed)
 		}
-		r.cfg.Clock.Sleep(r.ctx, nodesInterval/2+rand.N(nodesInterval))
+		interval := r.nodesInterval()
+		r.cfg.Clock.Sleep(r.ctx, interval/2+rand.N(interval))
 	}
 }
+
+func (r *Runner) nodesInterval() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core.NodesInterval()
+}
