gateway, quota: few requests a node are not refused within the quota; peers' spending is not forgotten

With that mended, a second fault shows: what peers had spent was taken from the bucket without its pending refill, went below the lower bound there and was forgotten, so that a node that is rarely asked itself let a team spend a half more than its quota.

Change: statuses carry what teams have asked a node for, refused requests included. A node estimates its peers' unreported spending from that; from its own demand only if a team has sent it more than two requests within the decay time. The bucket is refilled before it is charged.

--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -192,9 +192,10 @@
 	spent  float64
 	// published is the part of spent that has been sent to all peers.
 	published float64
-	// demand is the cost of the team's recent requests, decayed up to demandAt.
-	demand   float64
-	demandAt time.Time
+	// asked is the cost of all of the team's requests here, refused ones too.
+	asked float64
+	// demand averages asked, peerDemand what the peers report of theirs.
+	demand, peerDemand demandMeter
 }
 
 // Reduce processes an event and returns the effects to execute.
--- a/internal/core/gateway/quota.go
+++ b/internal/core/gateway/quota.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"math"
 	"time"
 
 	"monsoonlanding/internal/core/quota"
@@ -28,15 +27,16 @@
 	quotaShare := g.quotaShare()
 	q := g.teamQuota(r.team)
 	c := cost(r)
-	q.addDemand(g.now, c)
 	left := q.bucket.Available(g.now, quotaShare)
-	unreported := g.unreported(q)
+	unreported := g.unreported(q, c)
+	q.asked += c
+	q.demand.add(g.now, c)
 	if left < c || left-c < unreported*g.rng.Float64() {
 		g.logRequest(r, "quota", "quota spent", "cost", c, "left", left, "share", quotaShare,
 			"unheard", unreported, "rate", r.team.Rate, "burst", r.team.Burst)
 		return max(q.bucket.Wait(g.now, c, quotaShare), minRetryAfter), false
 	}
-	q.bucket.Spend(c)
+	q.bucket.Spend(g.now, c, quotaShare)
 	r.cost = c
 	q.spent += c
 	unpublished := (q.spent - q.published) * float64(len(g.members)+1)
@@ -46,28 +46,23 @@
 	return 0, true
 }
 
-// demandDecay is the time constant of the decay of a team's demand.
-const demandDecay = 500 * time.Millisecond
-
-// unreported estimates the units that the peers have spent since their last
-// status, assuming that their demand equals this node's. Near a limit they
-// send a status on the tick after interval/lowQuotaDivisor. If less than the
-// estimate is left, takeQuota admits requests at random, only as many as are
-// likely to fit for all nodes together.
-func (g *Gateway) unreported(q *teamQuota) float64 {
-	peers := float64(g.contactCount(silentIntervals) - 1)
-	rate := q.demand / demandDecay.Seconds() * peers
-	return rate * (g.interval()/lowQuotaDivisor + TickInterval).Seconds()
-}
-
-// addDemand adds a request's cost to the team's demand, which decays with
-// demandDecay.
-func (q *teamQuota) addDemand(now time.Time, cost float64) {
-	if elapsed := now.Sub(q.demandAt); elapsed > 0 {
-		q.demand *= math.Exp(-float64(elapsed) / float64(demandDecay))
+// surgeRequests is the number of requests, of the size of the next one, that a team must have
+// sent to this node within demandDecay for the node to conclude from its own demand on that of
+// its peers. One or two arrive together by chance, and among many nodes each stands for many.
+const surgeRequests = 2
+
+// unreported estimates the units that the peers have spent since their latest statuses: what
+// they have reported that teams ask for lately, or if that is more, what this node is asked
+// for itself during a surge that has begun since. Near a limit they send a status on the tick
+// after interval/lowQuotaDivisor. If less than the estimate is left, takeQuota admits requests at
+// random, only as many as are likely to fit for all nodes together.
+func (g *Gateway) unreported(q *teamQuota, cost float64) float64 {
+	rate := q.peerDemand.rate(g.now)
+	if own := q.demand.rate(g.now); own*demandDecay.Seconds() >= surgeRequests*cost {
+		peers := float64(g.contactCount(silentIntervals) - 1)
+		rate = max(rate, own*peers)
 	}
-	q.demandAt = now
-	q.demand += cost
+	return rate * (g.interval()/lowQuotaDivisor + TickInterval).Seconds()
 }
 
 func (g *Gateway) teamQuota(team *route.Team) *teamQuota {
@@ -136,7 +131,7 @@
 		return
 	}
 	if q := g.quotas[r.team.Name]; q != nil {
-		q.bucket.Spend(-r.cost)
+		q.bucket.Spend(g.now, -r.cost, g.quotaShare())
 		q.spent -= r.cost
 	}
 	r.cost = 0
@@ -153,14 +148,17 @@
 	return float64(g.contactCount(quotaSilentIntervals)) / float64(len(g.members)+1)
 }
 
-// deductQuota subtracts units that a peer has spent from a team's quota.
-func (g *Gateway) deductQuota(name string, units float64) {
+// deductQuota subtracts units that a peer has spent from a team's quota. The peer was asked for
+// as many, or more.
+func (g *Gateway) deductQuota(name string, units, asked, share float64) {
 	for i := range g.table.Teams() {
 		team := &g.table.Teams()[i]
 		if team.Name != name || team.Rate <= 0 {
 			continue
 		}
-		g.teamQuota(team).bucket.Spend(units)
+		q := g.teamQuota(team)
+		q.bucket.Spend(g.now, units, share)
+		q.peerDemand.add(g.now, max(asked, 0))
 		return
 	}
 }
--- a/internal/core/peer/status.go
+++ b/internal/core/peer/status.go
@@ -158,6 +158,8 @@
 type TeamQuotaSpent struct {
 	Team  string  `cbor:"1,keyasint"`
 	Units float64 `cbor:"2,keyasint"`
+	// Asked counts the units of all requests, refused ones too.
+	Asked float64 `cbor:"3,keyasint,omitempty"`
 }
 
 // UsageWindow holds the number of requests per team that started in a window.
--- a/internal/core/quota/bucket.go
+++ b/internal/core/quota/bucket.go
@@ -43,11 +43,11 @@
 // Level returns the current level without refilling the bucket.
 func (b *Bucket) Level() float64 { return b.level }
 
-// Spend subtracts the cost of a request admitted by this node or a peer. The
-// level may become negative, but not below minus the burst. A negative cost
-// returns the cost of a request that did not run.
-func (b *Bucket) Spend(cost float64) {
-	b.level = max(min(b.level-cost, b.limit.Burst), -b.limit.Burst)
+// Spend refills the bucket and subtracts the cost of a request admitted by this
+// node or a peer. The level may become negative, but not below minus the burst.
+// A negative cost returns the cost of a request that did not run.
+func (b *Bucket) Spend(now time.Time, cost, share float64) {
+	b.level = max(min(b.Available(now, share)-cost, b.limit.Burst), -b.limit.Burst)
 }
 
 // Wait returns the time until the bucket holds the cost. It returns 0 if the
--- a/internal/core/quota/bucket_test.go
+++ b/internal/core/quota/bucket_test.go
@@ -14,7 +14,7 @@
 	if b.Available(now, share) < cost {
 		return false
 	}
-	b.Spend(cost)
+	b.Spend(now, cost, share)
 	return true
 }
 
@@ -72,7 +72,22 @@
 	b := New(Limit{Rate: 10, Burst: 100}, 100, epoch)
 	now := epoch.Add(time.Second)
 	c.Assert(b.Available(now, 0.25), qt.Equals, 25.0)
-	b.Spend(25)
-	b.Spend(-25)
+	b.Spend(now, 25, 0.25)
+	b.Spend(now, -25, 0.25)
 	c.Assert(b.Available(now, 0.25), qt.Equals, 25.0)
 }
+
+// TestSpendingOfPeersIsNotForgotten guards against a node that is rarely asked itself: what its
+// peers spent went beyond the lower bound of its level while the refill of the same time was
+// pending, and was forgotten, so that the team got more than its quota.
+func TestSpendingOfPeersIsNotForgotten(t *testing.T) {
+	c := qt.New(t)
+	b := New(Limit{Rate: 100, Burst: 100}, 100, epoch)
+	now := epoch
+	for range 20 {
+		now = now.Add(time.Second)
+		b.Spend(now, 110, 1)
+	}
+	// 100 at first and 100 a second, less 110 a second.
+	c.Assert(b.Available(now, 1) <= -100.0, qt.IsTrue)
+}
--- a/internal/core/quota/doc.go
+++ b/internal/core/quota/doc.go
@@ -21,7 +21,7 @@
 //
 //	b := quota.New(limit, level, now)
 //	if b.Available(now, share) >= cost {
-//		b.Spend(cost)
+//		b.Spend(now, cost, share)
 //	}
-//	b.Spend(peersCost)
+//	b.Spend(now, peersCost, share)
 package quota
