upstreamhttp: a late second copy of an answer reaches no other request

The HTTP client took the copy as the answer to the next request.

Change: upstreams return the Request-Instance header; an answer with another one is none, and the request counts as one that may have run. A connection to an upstream that returns no such header is used for one request only. The stand-ins return it.

The handler of 'stalled in the answer' in TestFailureCauses now reads its request: net/http tells a handler that its client has left only then, if the connection is used once; what is checked is the same.

--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -116,6 +116,7 @@
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch r.URL.Path {
 	case upstreamhttp.GeneratePath:
+		w.Header().Set(upstreamhttp.HeaderInstance, r.Header.Get(upstreamhttp.HeaderInstance))
 		e.generate(w, r)
 	case upstreamhttp.LoadPath:
 		e.mu.Lock()
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -99,6 +99,7 @@
 func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch r.URL.Path {
 	case upstreamhttp.CallPath:
+		w.Header().Set(upstreamhttp.HeaderInstance, r.Header.Get(upstreamhttp.HeaderInstance))
 		s.call(w, r)
 	case upstreamhttp.LoadPath:
 		s.mu.Lock()
--- a/internal/wire/upstreamhttp/client.go
+++ b/internal/wire/upstreamhttp/client.go
@@ -21,6 +21,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -37,7 +38,7 @@
 	CallPath     = "/v1/call"
 	LoadPath     = "/v1/load"
 	// HeaderKey is the header with the request's key, HeaderInstance the one with
-	// the ID of its submission.
+	// the ID of its submission, which the upstream returns with its answer.
 	HeaderKey      = "Idempotency-Key"
 	HeaderInstance = "Request-Instance"
 	// EventToken and EventDone are the names of the events of an engine's answer.
@@ -89,6 +90,8 @@
 // Client sends requests to upstreams.
 type Client struct {
 	http *http.Client
+	// echoing holds the addresses of the upstreams that return the submission's ID.
+	echoing sync.Map
 }
 
 // New returns a client that uses the given HTTP client.
@@ -107,6 +110,10 @@
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if err := c.checkInstance(d, resp); err != nil {
+		report(failureEvent(ctx, d.Attempt, err, node.CauseCrashed))
+		return
+	}
 	if e := statusFailure(d.Attempt, resp); e != nil {
 		report(e)
 		return
@@ -139,9 +146,29 @@
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(HeaderKey, d.Request.Key)
 	req.Header.Set(HeaderInstance, d.Request.Instance)
+	_, echoes := c.echoing.Load(d.Upstream.Address)
+	req.Close = !echoes
 	return c.http.Do(req)
 }
 
+// checkInstance returns an error if an answer is to another request, or may be: on a connection
+// that was used before, an upstream may send a second copy of an earlier answer.
+func (c *Client) checkInstance(d node.Dispatch, resp *http.Response) error {
+	address := d.Upstream.Address
+	got, want := resp.Header.Get(HeaderInstance), d.Request.Instance
+	switch {
+	case got == want && got != "":
+		c.echoing.Store(address, true)
+		return nil
+	case got == "" && resp.Request.Close:
+		return nil
+	default:
+		c.echoing.Delete(address)
+		c.http.CloseIdleConnections()
+		return errors.Errorf("answer of %s: got %s %q, expected %q", address, HeaderInstance, got, want)
+	}
+}
+
 // encode returns the path and body for a dispatch. A plain service gets the
 // caller's body unchanged.
 func encode(d node.Dispatch) (path string, body []byte, err error) {
--- a/internal/wire/upstreamhttp/client_test.go
+++ b/internal/wire/upstreamhttp/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -76,6 +77,8 @@
 			}
 		}, node.CauseStalled},
 		{"stalled in the answer", upstream.Engine, func(w http.ResponseWriter, r *http.Request) {
+			// Without it, the server does not see that the client leaves.
+			_, _ = io.ReadAll(r.Body)
 			_, _ = fmt.Fprint(w, token)
 			_ = http.NewResponseController(w).Flush()
 			<-r.Context().Done()
