average, gateway: one type for rates that decay

The work of engines and the demand of teams were averaged by two types with the same arithmetic. average.Rate replaces both; the tests of the gateway and of the fleet plan pass unchanged.

--- a/internal/core/average/average.go
+++ b/internal/core/average/average.go
@@ -1,4 +1,4 @@
-// Package average keeps exponentially weighted means.
+// Package average keeps exponentially weighted means and rates.
 //
 // # Usage
 //
--- a/internal/core/gateway/fleet.go
+++ b/internal/core/gateway/fleet.go
@@ -1,9 +1,9 @@
 package gateway
 
 import (
-	"math"
 	"time"
 
+	"monsoonlanding/internal/core/average"
 	"monsoonlanding/internal/core/fleet"
 	"monsoonlanding/internal/core/placement"
 )
@@ -20,32 +20,6 @@
 	fleetStartDelay = 1500 * time.Millisecond
 )
 
-// workMeter averages the engine time that this node's requests take.
-type workMeter struct {
-	// level decays with workDecay; level/workDecay is the number of busy
-	// engines.
-	level time.Duration
-	at    time.Time
-}
-
-func (w *workMeter) decay(now time.Time) {
-	if elapsed := now.Sub(w.at); elapsed > 0 {
-		w.level = time.Duration(float64(w.level) * math.Exp(-float64(elapsed)/float64(workDecay)))
-		w.at = now
-	}
-}
-
-func (w *workMeter) add(now time.Time, work time.Duration) {
-	w.decay(now)
-	w.level += work
-}
-
-// engines returns the number of engines that the work keeps busy.
-func (w *workMeter) engines(now time.Time) float64 {
-	w.decay(now)
-	return float64(w.level) / float64(workDecay)
-}
-
 // addWork counts the work of a request that has arrived, whether or not an
 // engine has capacity for it.
 func (g *Gateway) addWork(r *request) {
@@ -55,10 +29,10 @@
 	}
 	w := g.work[r.service]
 	if w == nil {
-		w = &workMeter{at: g.now}
+		w = &average.Rate{Decay: workDecay}
 		g.work[r.service] = w
 	}
-	w.add(g.now, engineWork(r.req.Prompt, g.upstreams.Speed(r.service)))
+	w.Add(g.now, engineWork(r.req.Prompt, g.upstreams.Speed(r.service)).Seconds())
 }
 
 // totalWork adds up the work of all nodes for a service, as a number of
@@ -66,7 +40,7 @@
 func (g *Gateway) totalWork(service string) float64 {
 	sum := 0.0
 	if w := g.work[service]; w != nil {
-		sum = w.engines(g.now)
+		sum = w.PerSecond(g.now)
 	}
 	for _, m := range g.members {
 		if !g.inContact(m) {
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"monsoonlanding/internal/core/average"
 	"monsoonlanding/internal/core/fleet"
 	"monsoonlanding/internal/core/leader"
 	"monsoonlanding/internal/core/placement"
@@ -135,7 +136,7 @@
 	// paces holds the usual times of answers, by route.
 	paces map[string]*routePace
 	// work averages the engine time of this node's requests, by service.
-	work map[string]*workMeter
+	work map[string]*average.Rate
 
 	started time.Time
 	// statusSeq is the sequence number of the latest status.
@@ -180,7 +181,7 @@
 		planners:      make(map[string]*fleet.Planner),
 		rollouts:      make(map[string]*rolloutState),
 		paces:         make(map[string]*routePace),
-		work:          make(map[string]*workMeter),
+		work:          make(map[string]*average.Rate),
 	}
 	g.upstreams = placement.New(cfg.Node, cfg.Zone, cfg.Cost, placement.Shares{Limit: g.limitShare, Slots: g.slotPart}, rng)
 	return g
@@ -195,7 +196,7 @@
 	// asked is the cost of all of the team's requests here, refused ones too.
 	asked float64
 	// demand averages asked, peerDemand what the peers report of theirs.
-	demand, peerDemand demandMeter
+	demand, peerDemand average.Rate
 }
 
 // Reduce processes an event and returns the effects to execute.
--- a/internal/core/gateway/quota.go
+++ b/internal/core/gateway/quota.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"monsoonlanding/internal/core/average"
 	"monsoonlanding/internal/core/quota"
 	"monsoonlanding/internal/core/route"
 )
@@ -30,7 +31,7 @@
 	left := q.bucket.Available(g.now, quotaShare)
 	unreported := g.unreported(q, c)
 	q.asked += c
-	q.demand.add(g.now, c)
+	q.demand.Add(g.now, c)
 	if left < c || left-c < unreported*g.rng.Float64() {
 		g.logRequest(r, "quota", "quota spent", "cost", c, "left", left, "share", quotaShare,
 			"unheard", unreported, "rate", r.team.Rate, "burst", r.team.Burst)
@@ -46,6 +47,9 @@
 	return 0, true
 }
 
+// demandDecay is the time constant of the decay of a team's demand.
+const demandDecay = 500 * time.Millisecond
+
 // surgeRequests is the number of requests, of the size of the next one, that a team must have
 // sent to this node within demandDecay for the node to conclude from its own demand on that of
 // its peers. One or two arrive together by chance, and among many nodes each stands for many.
@@ -57,8 +61,8 @@
 // after interval/lowQuotaDivisor. If less than the estimate is left, takeQuota admits requests at
 // random, only as many as are likely to fit for all nodes together.
 func (g *Gateway) unreported(q *teamQuota, cost float64) float64 {
-	rate := q.peerDemand.rate(g.now)
-	if own := q.demand.rate(g.now); own*demandDecay.Seconds() >= surgeRequests*cost {
+	rate := q.peerDemand.PerSecond(g.now)
+	if own := q.demand.PerSecond(g.now); own*demandDecay.Seconds() >= surgeRequests*cost {
 		peers := float64(g.contactCount(silentIntervals) - 1)
 		rate = max(rate, own*peers)
 	}
@@ -69,7 +73,11 @@
 	limit := g.limit(team)
 	q := g.quotas[team.Name]
 	if q == nil {
-		q = &teamQuota{bucket: quota.New(limit, g.initialLevel(team, limit), g.now)}
+		q = &teamQuota{
+			bucket:     quota.New(limit, g.initialLevel(team, limit), g.now),
+			demand:     average.Rate{Decay: demandDecay},
+			peerDemand: average.Rate{Decay: demandDecay},
+		}
 		g.quotas[team.Name] = q
 	}
 	if q.bucket.Limit() != limit {
@@ -158,7 +166,7 @@
 		}
 		q := g.teamQuota(team)
 		q.bucket.Spend(g.now, units, share)
-		q.peerDemand.add(g.now, max(asked, 0))
+		q.peerDemand.Add(g.now, max(asked, 0))
 		return
 	}
 }
--- a/internal/core/gateway/status.go
+++ b/internal/core/gateway/status.go
@@ -61,7 +61,7 @@
 		s.QuotaSpent = append(s.QuotaSpent, peer.TeamQuotaSpent{Team: name, Units: q.spent, Asked: q.asked})
 	}
 	for name, w := range g.work {
-		s.EngineLoad = append(s.EngineLoad, peer.ServiceEngineLoad{Service: name, Engines: w.engines(g.now)})
+		s.EngineLoad = append(s.EngineLoad, peer.ServiceEngineLoad{Service: name, Engines: w.PerSecond(g.now)})
 	}
 	last := g.usage.counter.Window(clusterTime)
 	for w, counts := range g.usage.counter.Latest(clusterTime) {
