--- a/internal/wire/peerws/malformed_test.go
+++ b/internal/wire/peerws/malformed_test.go
@@ -12,7 +12,6 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"monsoonlanding/internal/core/gateway"
-	"monsoonlanding/internal/core/peer"
 	"monsoonlanding/internal/core/placement"
 	"monsoonlanding/internal/core/rollout"
 	"monsoonlanding/internal/core/route"
@@ -158,5 +157,3 @@
 		return oddNumbers[m.rng.IntN(len(oddNumbers))]
 	}
 }
-
-var _ peer.Message = peer.Status{}
--- a/internal/wire/peerws/silent_test.go
+++ b/internal/wire/peerws/silent_test.go
@@ -42,6 +42,16 @@
 	return r
 }
 
+// newSender returns the pool of node a.
+func newSender(c *qt.C, codec *Codec, onUnreachable func(id string)) *Pool {
+	a := New(Config{
+		Self: peer.Member{ID: "a"}, Token: "token", Codec: codec, Log: zerolog.Nop(),
+		OnFailure: func(string) {}, OnUnreachable: onUnreachable, OnSend: func(int) {},
+	})
+	c.Cleanup(a.Close)
+	return a
+}
+
 // next returns the number of the next status, and whether one has arrived in time.
 func (r *receiver) next(within time.Duration) (uint64, bool) {
 	select {
@@ -62,11 +72,7 @@
 	b := newReceiver(c, codec)
 	proxy := faultproxy.New(b.server.Listener.Addr().String())
 	c.Cleanup(proxy.Close)
-	a := New(Config{
-		Self: peer.Member{ID: "a"}, Token: "token", Codec: codec, Log: zerolog.Nop(),
-		OnFailure: func(string) {}, OnUnreachable: func(string) {}, OnSend: func(int) {},
-	})
-	c.Cleanup(a.Close)
+	a := newSender(c, codec, func(string) {})
 
 	seq := uint64(0)
 	send := func() {
@@ -123,11 +129,7 @@
 			proxy := faultproxy.New(b.server.Listener.Addr().String())
 			c.Cleanup(proxy.Close)
 			lost := make(chan string, 10)
-			a := New(Config{
-				Self: peer.Member{ID: "a"}, Token: "token", Codec: codec, Log: zerolog.Nop(),
-				OnFailure: func(string) {}, OnUnreachable: func(id string) { lost <- id }, OnSend: func(int) {},
-			})
-			c.Cleanup(a.Close)
+			a := newSender(c, codec, func(id string) { lost <- id })
 			a.Send("b", proxy.Address(), peer.Status{Node: "a", Seq: 1})
 			_, ok := b.next(contactBound)
 			c.Assert(ok, qt.IsTrue)
