--- a/internal/core/gateway/forward.go
+++ b/internal/core/gateway/forward.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -28,17 +29,17 @@
 	number int
 }
 
-// forwarded holds the forwarders by zone, for the zones in which this node's status is forwarded.
-type forwarded map[string][]*member
+// forwardZones holds the possible forwarders by zone, for the zones in which this node's status is forwarded.
+type forwardZones map[string][]*member
 
 // covers reports whether a member gets this node's status from a forwarder.
-func (f forwarded) covers(m *member) bool {
-	return len(f[m.status.Zone]) > 0 && m.status.TakesForwards
+func (z forwardZones) covers(m *member) bool {
+	return len(z[m.status.Zone]) > 0 && m.status.TakesForwards
 }
 
-// forwarded returns the zones in which this node's statuses are forwarded.
-func (g *Gateway) forwarded() forwarded {
-	zones := make(forwarded)
+// forwardZones returns the zones in which this node's statuses are forwarded.
+func (g *Gateway) forwardZones() forwardZones {
+	zones := make(forwardZones)
 	for _, m := range g.sortedMembers() {
 		if g.mayForward(m) {
 			zones[m.status.Zone] = append(zones[m.status.Zone], m)
@@ -59,7 +60,7 @@
 
 // sendToForwarders sends a status to the zones that are due, or to all of them. It carries the
 // counts of usage if all nodes read them.
-func (g *Gateway) sendToForwarders(zones forwarded, all, withUsage bool) {
+func (g *Gateway) sendToForwarders(zones forwardZones, all, withUsage bool) {
 	var status *peer.Status
 	for _, zone := range slices.Sorted(maps.Keys(zones)) {
 		turn := g.forwardTurns[zone]
@@ -84,21 +85,10 @@
 // forwarder returns the member that forwards a turn's status: one of the first in this node's
 // rendezvous order, so that the work is spread over the zone.
 func (g *Gateway) forwarder(list []*member, turn int) *member {
-	var first [forwarderCount]*member
-	var ranks [forwarderCount]uint64
-	for _, m := range list {
-		rank := rankForTask("forward/"+g.cfg.Node, m.node)
-		for i := range first {
-			if first[i] == nil || rank > ranks[i] {
-				first[i], m = m, first[i]
-				ranks[i], rank = rank, ranks[i]
-			}
-			if m == nil {
-				break
-			}
-		}
-	}
-	return first[turn%forwarderCount]
+	rank := func(m *member) uint64 { return rankForTask("forward/"+g.cfg.Node, m.node) }
+	ordered := slices.Clone(list)
+	slices.SortFunc(ordered, func(a, b *member) int { return cmp.Compare(rank(b), rank(a)) })
+	return ordered[turn%forwarderCount]
 }
 
 // forwardReceived takes a status of a node in another zone and forwards it in this node's zone,
--- a/internal/core/gateway/members.go
+++ b/internal/core/gateway/members.go
@@ -207,7 +207,7 @@
 			q.published = q.spent
 		}
 	}
-	zones, readers := g.forwarded(), g.usageReaders()
+	zones, readers := g.forwardZones(), g.usageReaders()
 	var recipients []*member
 	for _, m := range g.sortedMembers() {
 		if zones.covers(m) && g.inContact(m) && !readers[m.node] {
--- a/internal/wire/peerws/confirm.go
+++ b/internal/wire/peerws/confirm.go
@@ -8,8 +8,11 @@
 )
 
 const (
-	// confirmInterval is the minimum interval between two pings on a connection.
-	confirmInterval = 500 * time.Millisecond
+	// minConfirmInterval is the minimum interval between two pings on a connection.
+	// confirmIntervalPerLink times the number of links is the interval if that is longer, so that
+	// pings to many peers do not outnumber the messages.
+	minConfirmInterval     = 750 * time.Millisecond
+	confirmIntervalPerLink = 25 * time.Millisecond
 	// confirmTimeout bounds the time until the peer answers a ping.
 	confirmTimeout = time.Second
 )
@@ -20,6 +23,8 @@
 // connection without messages.
 type confirmation struct {
 	conn *websocket.Conn
+	// interval returns the minimum interval between two pings.
+	interval func() time.Duration
 	// due fires when the next ping is due.
 	due *time.Timer
 	// result receives the result of the ping that is under way.
@@ -30,10 +35,10 @@
 	lastPing               time.Time
 }
 
-func newConfirmation(conn *websocket.Conn) *confirmation {
+func newConfirmation(conn *websocket.Conn, interval func() time.Duration) *confirmation {
 	due := time.NewTimer(0)
 	<-due.C
-	return &confirmation{conn: conn, due: due, result: make(chan error, 1)}
+	return &confirmation{conn: conn, interval: interval, due: due, result: make(chan error, 1)}
 }
 
 // written notes that messages were written.
@@ -47,7 +52,7 @@
 		return
 	}
 	c.scheduled = true
-	c.due.Reset(time.Until(c.lastPing.Add(confirmInterval)))
+	c.due.Reset(time.Until(c.lastPing.Add(c.interval())))
 }
 
 // ping starts the ping that is due.
--- a/internal/wire/peerws/pool.go
+++ b/internal/wire/peerws/pool.go
@@ -164,6 +164,13 @@
 	}
 }
 
+// confirmInterval returns the interval at which the messages on a connection are confirmed.
+func (p *Pool) confirmInterval() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(minConfirmInterval, time.Duration(len(p.links))*confirmIntervalPerLink)
+}
+
 func (p *Pool) reportFailure(l *link, err error) {
 	if p.ctx.Err() != nil {
 		return
@@ -181,7 +188,7 @@
 	ctx := conn.CloseRead(p.ctx)
 	idle := time.NewTimer(idleTimeout)
 	defer idle.Stop()
-	confirm := newConfirmation(conn)
+	confirm := newConfirmation(conn, p.confirmInterval)
 	defer confirm.stop()
 	for {
 		select {
