--- a/internal/core/gateway/quota.go
+++ b/internal/core/gateway/quota.go
@@ -55,6 +55,10 @@
 // its peers. One or two arrive together by chance, and among many nodes each stands for many.
 const surgeRequests = 2
 
+// surgeFactor is the factor by which a node's own demand must exceed what its peers report to
+// count as a surge that they have not reported yet, and not as chance.
+const surgeFactor = 1.5
+
 // unreported estimates the units that the peers have spent since their latest statuses: what
 // they have reported that teams ask for lately, or if that is more, what this node is asked
 // for itself during a surge that has begun since. Near a limit they send a status on the tick
@@ -64,7 +68,9 @@
 	rate := q.peerDemand.PerSecond(g.now)
 	if own := q.demand.PerSecond(g.now); own*demandDecay.Seconds() >= surgeRequests*cost {
 		peers := float64(g.contactCount(silentIntervals) - 1)
-		rate = max(rate, own*peers)
+		if own*peers > surgeFactor*rate {
+			rate = own * peers
+		}
 	}
 	return rate * (g.interval()/lowQuotaDivisor + TickInterval).Seconds()
 }
