--- a/internal/tool/demo/demo.go
+++ b/internal/tool/demo/demo.go
@@ -37,7 +37,7 @@
 )
 
 var (
-	zones = []string{"prairie-west-a", "prairie-west-b", "prairie-west-c", "prairie-west-d"}
+	zones = []string{"zone-a", "zone-b", "zone-c", "zone-d"}
 	teams = []string{"crew", "desk", "base", "audit", "yard"}
 )
 
