--- a/review/rig/cut.go
+++ b/review/rig/cut.go
@@ -10,16 +10,16 @@
 const (
 	cutNodes    = 3
 	cutReplicas = 4
-	cutSlots    = 2
+	cutSlots    = 4
 	// cutClients keep all slots of the replicas taken.
-	cutClients = 12
+	cutClients = 24
 	// Each stream has cutEvents events, one each cutGap.
 	cutEvents = 60
 	cutGap    = 120 * time.Millisecond
 	// In each of cutRounds, a replica is down for cutDown, and a key is taken away cutRevokeAfter later.
 	cutRounds      = 4
 	cutRound       = 14 * time.Second
-	cutDown        = 4500 * time.Millisecond
+	cutDown        = 4200 * time.Millisecond
 	cutRevokeAfter = 200 * time.Millisecond
 
 	keptKey    = "i9n73hh2b9wu3fexd9dn"
