http1, gateway, platform: an answer counts only for the exchange that it belongs to

Cause: classifyHead took Not-Run and 421 before it compared the id; and a request that is tried again keeps its id, so that a copy of its own earlier refusal names it rightly. The answer to a move of a run names no request at all: any copy was taken as one.

Change: a connection remembers the requests that it has carried (256, then it is closed). A request never gets a connection that has carried it; copies of earlier answers are skipped, and the true answer that follows is read; what names another request, or none on a used connection, proves nothing and its load and signals don't count; calls without an id have a connection of their own. The log's line 'end' names the connection, the requests before, copies skipped and a foreign id; gateway_extra_answers counts the copies.

Tests: with the comparison moved alone, TestCopyOfOwnRefusalIsNoSecondRefusal runs its request twice; without the pool's part TestCopyOfRefusalRefusesNoOtherRequest, TestCopyOfRefusalEndsNoResumedStream, TestRefusalThatNamesNobodyProvesNothing, TestAnswerThatNamesAnotherRequestIsNone and TestCopyOfAnswerIsNoAnswerOfMove failed, and five new rows of TestClassifyHead fail on.

--- a/internal/core/gateway/attempt.go
+++ b/internal/core/gateway/attempt.go
@@ -50,6 +50,9 @@
 }
 
 func (g *Gateway) ended(e Ended) {
+	for range e.Exchange.Extra {
+		g.count(CountExtra, ExtraSkipped)
+	}
 	r := g.requests[e.Conn]
 	if r == nil || r.attempt != e.Attempt || r.phase != phaseRunning {
 		return
@@ -105,6 +108,10 @@
 		"upstream", r.upstream.ID, "attempt", r.attempt,
 		"age_ms", g.now.Sub(r.arrived).Milliseconds(), "detail", e.Detail,
 		"framing", string(e.Framing), "partial", e.PartialBytes, "connect", string(e.Connect),
+		"connection", e.Exchange.Connection, "earlier", e.Exchange.Earlier, "extra", e.Exchange.Extra,
+	}
+	if e.Exchange.Names != r.req.ID {
+		inputs = append(inputs, "names", e.Exchange.Names)
 	}
 	if e.Result == ResultBroken {
 		inputs = append(inputs, "began", r.began, "parts", r.req.Prompt.PartIDs(),
--- a/internal/core/gateway/effect.go
+++ b/internal/core/gateway/effect.go
@@ -183,8 +183,13 @@
 	CountMove    Counter = "gateway_moves"
 	// CountAnswer counts upstreams' answers by their framing.
 	CountAnswer Counter = "gateway_answers"
+	// CountExtra counts copies of earlier answers that came where another one was expected.
+	CountExtra Counter = "gateway_extra_answers"
 )
 
+// ExtraSkipped is the only label of CountExtra.
+const ExtraSkipped = "skipped"
+
 // Observe adds a duration to the histogram of a route.
 type Observe struct {
 	Timing  Timing
--- a/internal/core/gateway/event.go
+++ b/internal/core/gateway/event.go
@@ -80,7 +80,8 @@
 	// Signals is what the upstream says of itself in its answer.
 	Signals Signals
 	// Connect is what became of the attempt's connection.
-	Connect Connect
+	Connect  Connect
+	Exchange Exchange
 	// RetryAfter is the delay that a node names which refuses a request passed on to it.
 	RetryAfter time.Duration
 	// Framing is the framing of the upstream's answer, empty without an answer.
--- a/internal/core/gateway/result.go
+++ b/internal/core/gateway/result.go
@@ -13,6 +13,19 @@
 	ConnectFailed Connect = "failed"
 )
 
+// Exchange describes the exchange of an attempt, for the log.
+type Exchange struct {
+	// Connection identifies the connection in this process, 0 if none was opened.
+	Connection uint64
+	// Earlier is the number of requests that the connection carried before.
+	Earlier int
+	// Extra is the number of copies of earlier answers that came before the request's own one
+	// and were skipped.
+	Extra int
+	// Names is the request that the answer names, empty if it names none.
+	Names string
+}
+
 // Framing is how an upstream's answer marks its end.
 type Framing string
 
--- a/internal/run/gateway/attempt.go
+++ b/internal/run/gateway/attempt.go
@@ -72,16 +72,19 @@
 	if answer.Dialed() {
 		h.connect = core.ConnectOpened
 	}
-	if ended := (core.Ended{}); isRelay && !classifyRelayed(answer, &ended) {
+	ended := core.Ended{Connect: h.connect, Exchange: describe(answer)}
+	if !answer.Own() {
+		ended.Result, ended.Detail = core.ResultMalformed, "answer does not name the request"
+		return ended
+	}
+	if isRelay && !classifyRelayed(answer, &ended) {
 		h.drain(answer)
 		return ended
 	}
 	head := h.runner.cfg.Protocol.ClassifyHead(h.request.ID, answer.Status(), answer.Header())
 	h.signals = head.Signals
-	ended := core.Ended{
-		Result: head.Result, Detail: head.Detail, Load: head.Load, Signals: head.Signals,
-		Connect: h.connect, Framing: core.Framing(answer.Framing()),
-	}
+	ended.Result, ended.Detail, ended.Load, ended.Signals = head.Result, head.Detail, head.Load, head.Signals
+	ended.Framing = core.Framing(answer.Framing())
 	switch {
 	case head.Result == core.ResultErrored:
 		err = h.bufferAnswer(answer)
@@ -109,6 +112,12 @@
 	return ended
 }
 
+// describe returns what the log has of the exchange of an answer.
+func describe(answer *http1.Answer) core.Exchange {
+	c := answer.Connection()
+	return core.Exchange{Connection: c.Number, Earlier: c.Exchanges, Extra: answer.Extra(), Names: answer.Names()}
+}
+
 // send sends the request of an attempt to its upstream, or to the node that it is passed on to.
 func (h *handler) send(ctx context.Context, d core.Dispatch, remaining time.Duration) (answer *http1.Answer, isRelay bool, err error) {
 	if d.Relay != (core.Relay{}) {
@@ -122,6 +131,7 @@
 // upstreamRequest returns the request for the upstream of an attempt.
 func (h *handler) upstreamRequest(d core.Dispatch, remaining time.Duration) *http1.Request {
 	return &http1.Request{
+		ID:      h.request.ID,
 		Method:  h.r.Method,
 		Target:  h.r.RequestURI,
 		Host:    h.r.Host,
@@ -152,6 +162,9 @@
 		result = core.ResultUnreachable
 	}
 	ended := core.Ended{Result: result, Detail: err.Error()}
+	if failed := (*http1.Error)(nil); errors.As(err, &failed) {
+		ended.Exchange = core.Exchange{Connection: failed.Connection.Number, Earlier: failed.Connection.Exchanges}
+	}
 	if http1.ConnectFailed(err) {
 		ended.Connect = core.ConnectFailed
 	}
--- a/internal/run/gateway/metrics.go
+++ b/internal/run/gateway/metrics.go
@@ -13,7 +13,7 @@
 
 func newCounters() map[core.Counter]*expvar.Map {
 	maps := make(map[core.Counter]*expvar.Map)
-	for _, c := range []core.Counter{core.CountRefusal, core.CountRetry, core.CountResult, core.CountDuty, core.CountMove, core.CountAnswer} {
+	for _, c := range []core.Counter{core.CountRefusal, core.CountRetry, core.CountResult, core.CountDuty, core.CountMove, core.CountAnswer, core.CountExtra} {
 		maps[c] = expvar.NewMap(string(c))
 	}
 	for _, reason := range core.Reasons() {
@@ -28,6 +28,7 @@
 	for _, framing := range core.Framings() {
 		maps[core.CountAnswer].Add(string(framing), 0)
 	}
+	maps[core.CountExtra].Add(core.ExtraSkipped, 0)
 	return maps
 }
 
--- a/internal/run/gateway/protocol.go
+++ b/internal/run/gateway/protocol.go
@@ -32,6 +32,9 @@
 	// ClassifyHead derives the result of an attempt from the head of an
 	// upstream's answer to the request.
 	ClassifyHead func(requestID string, status int, h http.Header) Head
+	// AnswerID returns the ID of the request that an answer of an upstream or another node
+	// names, empty if it names none. nil: answers name no requests.
+	AnswerID func(http.Header) string
 	// CopyHeader copies the header of an upstream's answer to the caller's
 	// answer.
 	CopyHeader func(to, from http.Header)
--- a/internal/run/gateway/relay.go
+++ b/internal/run/gateway/relay.go
@@ -47,7 +47,8 @@
 	s := h.runner.cfg.Settings
 	relayhttp.Request{Token: s.Peers.Token, From: s.Name, Attempts: d.Relay.Attempts}.Set(header)
 	return &http1.Request{
-		Method: h.r.Method, Target: h.r.RequestURI, Host: h.r.Host, Header: header, Body: h.body, MaxIdle: maxIdleRelayConns,
+		ID: h.request.ID, Method: h.r.Method, Target: h.r.RequestURI, Host: h.r.Host, Header: header, Body: h.body,
+		MaxIdle: maxIdleRelayConns,
 	}
 }
 
--- a/internal/run/gateway/runner.go
+++ b/internal/run/gateway/runner.go
@@ -105,7 +105,7 @@
 		handlers: make(map[uint64]*handler),
 		drained:  make(chan struct{}),
 		relists:  make(map[core.FeedName]*relist),
-		pool:     http1.New(http1.Config{Clock: cfg.Clock}),
+		pool:     http1.New(http1.Config{Clock: cfg.Clock, AnswerID: cfg.Protocol.AnswerID}),
 	}
 	for _, f := range cfg.Services.Feeds {
 		r.relists[f.Name] = &relist{}
--- a/internal/wire/http1/answer.go
+++ b/internal/wire/http1/answer.go
@@ -24,11 +24,16 @@
 
 // Answer is an upstream's answer. Its head has been read, its body has not.
 type Answer struct {
-	pool *Pool
-	conn *conn
+	pool       *Pool
+	conn       *conn
+	connection Connection
 	// dialed is set if the connection was opened for this exchange.
-	dialed   bool
-	method   string
+	dialed bool
+	method string
+	// id is that of the request.
+	id string
+	// extra counts the copies of earlier answers that came before this one.
+	extra    int
 	response *http.Response
 	// writeResult receives the result of writing a request with a large body.
 	// Such a request is written while the answer is read. The channel is nil for
@@ -49,6 +54,39 @@
 // Dialed reports whether the connection was opened for this exchange.
 func (a *Answer) Dialed() bool { return a.dialed }
 
+// Connection describes the connection of an exchange, for logs.
+type Connection struct {
+	// Number identifies the connection in this process, 0 if none was opened.
+	Number uint64
+	// Exchanges is the number of requests that it carried before.
+	Exchanges int
+}
+
+// Connection returns the connection of the exchange.
+func (a *Answer) Connection() Connection { return a.connection }
+
+// Extra returns the number of copies of earlier answers that came before this one and were
+// skipped.
+func (a *Answer) Extra() int { return a.extra }
+
+// Names returns the ID of the request that the answer names, empty if it names none.
+func (a *Answer) Names() string {
+	if a.pool.cfg.AnswerID == nil {
+		return ""
+	}
+	return a.pool.cfg.AnswerID(a.response.Header)
+}
+
+// Own reports whether the answer is that to the request of this exchange: it names that request,
+// or it names none and the connection has carried no other one.
+func (a *Answer) Own() bool {
+	id := a.Names()
+	if a.pool.cfg.AnswerID == nil || id == a.id {
+		return true
+	}
+	return id == "" && a.connection.Exchanges == 0
+}
+
 // Header returns the headers.
 func (a *Answer) Header() http.Header { return a.response.Header }
 
@@ -84,7 +122,7 @@
 
 // readError returns the error of a step in which reading the answer failed.
 func (a *Answer) readError(step string, err error) error {
-	return &Error{Step: step, Peer: a.conn.address, Written: true, Malformed: isMalformed(err), Err: err}
+	return &Error{Step: step, Peer: a.conn.address, Connection: a.connection, Written: true, Malformed: isMalformed(err), Err: err}
 }
 
 // Length returns the length of the body, -1 if the head does not have it.
@@ -120,6 +158,9 @@
 	if a.failed || !a.complete || a.response.Close || a.conn.reader.Buffered() > 0 {
 		return false
 	}
+	if !a.pool.mayCarryMore(a.conn, a.id) {
+		return false
+	}
 	return a.Framing() != FramingClose && a.requestWritten()
 }
 
--- a/internal/wire/http1/pool.go
+++ b/internal/wire/http1/pool.go
@@ -5,7 +5,9 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -44,6 +46,9 @@
 // Config holds the dependencies of a Pool.
 type Config struct {
 	Clock clock.Clock
+	// AnswerID returns the ID of the request that an answer names, empty if it names none.
+	// nil: answers name no requests, and each one is taken as that to the request before it.
+	AnswerID func(http.Header) string
 }
 
 // Pool holds idle connections by upstream address.
@@ -52,6 +57,8 @@
 	dialer net.Dialer
 	mu     sync.Mutex
 	idle   map[string][]*conn
+	// dialed counts the connections opened so far.
+	dialed atomic.Uint64
 }
 
 type conn struct {
@@ -62,6 +69,10 @@
 	limit *limitedReader
 	// expires is the time until which the connection may be reused.
 	expires time.Time
+	// number identifies the connection in logs.
+	number uint64
+	// carried holds the requests that were sent on the connection before the current one.
+	carried history
 }
 
 // New returns an empty pool.
@@ -95,7 +106,7 @@
 // Do sends the request and returns the answer as soon as its head has been read.
 // The caller must close the answer. Errors are of type *Error.
 func (p *Pool) Do(ctx context.Context, address string, r *Request) (*Answer, error) {
-	c, dialed, err := p.get(ctx, address)
+	c, dialed, err := p.get(ctx, address, r)
 	if err != nil {
 		return nil, &Error{Step: stepConnect, Peer: address, Err: err}
 	}
@@ -103,7 +114,11 @@
 		p.putBack(c, r.MaxIdle)
 		return nil, &Error{Step: stepAdmit, Peer: address, Err: ErrWithheld}
 	}
-	a := &Answer{pool: p, conn: c, dialed: dialed, method: r.Method, maxIdle: r.MaxIdle}
+	a := &Answer{
+		pool: p, conn: c, dialed: dialed, method: r.Method, id: r.ID, maxIdle: r.MaxIdle,
+		connection: Connection{Number: c.number, Exchanges: c.carried.len()},
+	}
+	c.carried.add(r.ID)
 	// A deadline in the past interrupts pending reads and writes.
 	a.stop = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	if err := a.exchange(r); err != nil {
@@ -113,10 +128,10 @@
 	return a, nil
 }
 
-// get returns a usable idle connection, or a new one; dialed is set for that.
-func (p *Pool) get(ctx context.Context, address string) (c *conn, dialed bool, err error) {
+// get returns a usable idle connection for a request, or a new one; dialed is set for that.
+func (p *Pool) get(ctx context.Context, address string, r *Request) (c *conn, dialed bool, err error) {
 	for {
-		c = p.popIdle(address)
+		c = p.popIdle(address, r)
 		if c == nil {
 			c, err = p.dial(ctx, address)
 			return c, true, err
@@ -128,16 +143,31 @@
 	}
 }
 
-func (p *Pool) popIdle(address string) *conn {
+// popIdle takes an idle connection on which the answer to a request can be told from a copy of
+// any earlier one. It returns nil if there is none.
+func (p *Pool) popIdle(address string, r *Request) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	for i := len(list) - 1; i >= 0; i-- {
+		if c := list[i]; p.distinguishes(c, r) {
+			p.idle[address] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return c
+	return nil
+}
+
+// distinguishes reports whether the answer to a request on a connection can be told from a copy
+// of any earlier answer there.
+func (p *Pool) distinguishes(c *conn, r *Request) bool {
+	return p.cfg.AnswerID == nil || r.ID != "" && !c.carried.contains(r.ID)
+}
+
+// mayCarryMore reports whether a connection whose last request had the given ID may carry another
+// one: a copy of the answer to a request without an ID could not be told from an answer.
+func (p *Pool) mayCarryMore(c *conn, lastID string) bool {
+	return p.cfg.AnswerID == nil || lastID != "" && !c.carried.isFull()
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
@@ -148,7 +178,7 @@
 	limit := &limitedReader{reader: nc}
 	return &conn{
 		Conn: nc, address: address, reader: bufio.NewReader(limit), limit: limit,
-		expires: p.cfg.Clock.Now().Add(defaultIdleTimeout),
+		expires: p.cfg.Clock.Now().Add(defaultIdleTimeout), number: p.dialed.Add(1),
 	}, nil
 }
 
@@ -232,40 +262,3 @@
 	})
 	return err == nil && errors.Is(peekErr, unix.EAGAIN)
 }
-
-// exchange writes the request and reads the head of the answer. A large body is
-// written in a goroutine.
-func (a *Answer) exchange(r *Request) error {
-	if len(r.Body) > asyncBodyBytes {
-		a.writeResult = make(chan error, 1)
-		go func() { a.writeResult <- a.writeRequest(r) }()
-	} else if err := a.writeRequest(r); err != nil {
-		return err
-	}
-	return a.readHead()
-}
-
-func (a *Answer) writeRequest(r *Request) error {
-	counted := &countingWriter{w: a.conn}
-	if err := r.write(bufio.NewWriterSize(counted, asyncBodyBytes)); err != nil {
-		return &Error{Step: "write", Peer: a.conn.address, Written: counted.written > 0, Err: err}
-	}
-	return nil
-}
-
-// readHead reads the head of the final answer and skips informational (1xx)
-// ones.
-func (a *Answer) readHead() error {
-	a.conn.limit.set(MaxHeadBytes)
-	defer a.conn.limit.clear()
-	for {
-		resp, err := http.ReadResponse(a.conn.reader, &http.Request{Method: a.method})
-		if err != nil {
-			return a.readError("head", err)
-		}
-		if resp.StatusCode >= http.StatusOK {
-			a.response = resp
-			return nil
-		}
-	}
-}
--- a/internal/wire/http1/pool_test.go
+++ b/internal/wire/http1/pool_test.go
@@ -246,7 +246,7 @@
 	_, err = io.Copy(io.Discard, a)
 	c.Assert(err, qt.IsNil)
 	a.Close()
-	c.Assert(p.popIdle(server.address), qt.IsNil)
+	c.Assert(p.popIdle(server.address, &Request{ID: "next"}), qt.IsNil)
 }
 
 func TestCancelledExchangeClosesConnection(t *testing.T) {
--- a/internal/wire/http1/request.go
+++ b/internal/wire/http1/request.go
@@ -11,6 +11,9 @@
 
 // Request is a request with its complete body.
 type Request struct {
+	// ID is the ID by which the answer names the request. Without one, the exchange has a
+	// connection of its own.
+	ID     string
 	Method string
 	// Target is the path and query, unchanged from the caller's request.
 	Target string
@@ -55,6 +58,8 @@
 	Step string
 	// Peer is the upstream's address.
 	Peer string
+	// Connection is the connection of the exchange, zero if there was none.
+	Connection Connection
 	// Written is set if the upstream may have received the request.
 	Written bool
 	// Malformed is set if the bytes that arrived are no answer or exceed a limit.
