gateway: a request that waits again is not refused into its begun answer

Cause: requeue emitted Refuse itself for a waiting request that a new configuration does not allow, without asking whether part of its answer had been sent or whether it may have run. All other ends go through refuse, which asks both; now requeue does, too: a begun answer is broken off, and a request that may have run gets 502.

Test: TestBegunAnswerIsNeverRefused, a row for each end of a waiting request against begun or not; its four rows for keys and routes failed before. TestKeyTakenFromWaitingRequestIsBadKey holds the old answer for a request that has not run.

--- a/internal/core/gateway/queue.go
+++ b/internal/core/gateway/queue.go
@@ -140,10 +140,7 @@
 	for _, r := range g.waiting(func(r *request) bool { return r.service == q.service }) {
 		g.dequeue(r)
 		if reason := g.match(r); reason != "" {
-			g.emit(Refuse{Conn: r.conn, Reason: reason})
-			g.count(CountRefusal, string(reason))
-			g.refundQuota(r)
-			delete(g.requests, r.conn)
+			g.refuse(r, reason, 0)
 			continue
 		}
 		g.enqueue(r)
