gateway: an answer that its deadline cuts looks cut; no refusal enters a begun answer

Cause: the handler submitted Expired in place of Ended, so that the reducer never learnt that part of the answer had been sent, and emitted Refuse, which the handler wrote.

Change: Expired tells it. And the handler, which knows, breaks a begun answer off in place of writing a refusal or an error into it, so that no other way can make it look whole.

Tests: TestAnswerCutByItsDeadlineLooksCut (chunks and close) and TestGuardBreaksBegunAnswerOff failed before. TestResumedStreamTakesEventsOnly has rows for errors, refusals and answers without a type; they held before.

--- a/internal/core/gateway/attempt.go
+++ b/internal/core/gateway/attempt.go
@@ -275,6 +275,7 @@
 	if r == nil {
 		return
 	}
+	r.answerSent = r.answerSent || e.AnswerSent
 	switch {
 	case r.phase == phaseWaiting && r.runs == 0 && !r.isBetweenRuns():
 		g.refuse(r, ReasonTimeout, 0)
--- a/internal/core/gateway/event.go
+++ b/internal/core/gateway/event.go
@@ -115,7 +115,11 @@
 }
 
 // Expired reports that a request's deadline has passed.
-type Expired struct{ Conn uint64 }
+type Expired struct {
+	Conn uint64
+	// AnswerSent is set if part of the answer has reached the caller.
+	AnswerSent bool
+}
 
 // HandlerEnded reports that a request's handler has ended, because the caller has
 // its answer or has disconnected.
--- a/internal/run/gateway/answer_end_test.go
+++ b/internal/run/gateway/answer_end_test.go
@@ -50,12 +50,14 @@
 }
 
 // Paths of the test runner's routes: streams that run once, streams that can
-// resume, requests that can be repeated and requests that run once.
+// resume, requests that can be repeated, requests that run once, and those with a
+// short timeout.
 const (
 	oncePath   = "/d/1"
 	resumePath = "/s/1"
 	safePath   = "/q/1"
 	unsafePath = "/o/1"
+	shortPath  = "/t/1"
 )
 
 var (
@@ -222,6 +224,9 @@
 	for name, second := range map[string]rawhttp.Answer{
 		"document":   {Head: plainHead + rawhttp.Length(len(document)), Body: document},
 		"status 404": {Head: "HTTP/1.1 404 Not Found\r\n" + streamHead + rawhttp.Length(len(document)), Body: document},
+		"status 500": {Head: "HTTP/1.1 500 Internal Server Error\r\n" + streamHead + rawhttp.Length(len(document)), Body: document},
+		"refusal":    {Head: "HTTP/1.1 503 Service Unavailable\r\n" + streamHead + rawhttp.Length(len(document)), Body: document},
+		"no type":    {Head: rawhttp.Length(len(document)), Body: document},
 	} {
 		answerEnd{name, resumePath, []rawhttp.Answer{broken, second, rest}, want}.run(t)
 	}
--- a/internal/run/gateway/attempt.go
+++ b/internal/run/gateway/attempt.go
@@ -45,7 +45,7 @@
 	}
 	if attemptCtx.Err() != nil {
 		h.reportDropped(d, startedAt, ended)
-		h.runner.submit(core.Expired{Conn: h.conn})
+		h.runner.submit(core.Expired{Conn: h.conn, AnswerSent: h.framing != ""})
 		return false
 	}
 	h.runner.submit(ended)
--- a/internal/run/gateway/endless_test.go
+++ b/internal/run/gateway/endless_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -125,3 +126,22 @@
 		})
 	}
 }
+
+// TestAnswerCutByItsDeadlineLooksCut guards against a long answer that its deadline cuts while it is
+// relayed, and that ended in order with a refusal after its first part.
+func TestAnswerCutByItsDeadlineLooksCut(t *testing.T) {
+	body := string(make([]byte, 3*maxBufferedBytes))
+	for name, answer := range map[string]rawhttp.Answer{
+		"chunks": {Head: plainHead + rawhttp.Chunked, Body: rawhttp.Chunk(body), Hold: true},
+		"length": {Head: plainHead + rawhttp.Length(len(body)+1), Body: body, Hold: true},
+		"close":  {Head: plainHead + rawhttp.Unmarked, Body: body, Hold: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			got := request(c, shortPath, answer)
+			c.Check(got.status, qt.Equals, http.StatusOK)
+			c.Check(got.whole, qt.IsFalse)
+			c.Check(strings.HasPrefix(body, got.body), qt.IsTrue, qt.Commentf("%d bytes, end %q", len(got.body), got.body[max(0, len(got.body)-20):]))
+		})
+	}
+}
--- a/internal/run/gateway/guard_test.go
+++ b/internal/run/gateway/guard_test.go
@@ -122,3 +122,31 @@
 		c.Fatal("the feed is not listed again")
 	}
 }
+
+// TestGuardBreaksBegunAnswerOff: a refusal or an error that is decided on after the answer has begun
+// is not written into it, whatever led to it.
+func TestGuardBreaksBegunAnswerOff(t *testing.T) {
+	for name, effect := range map[string]core.Effect{
+		"refusal": core.Refuse{Reason: core.ReasonBadKey},
+		"error":   core.RelayError{},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			r := newTestRunner()
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+				h := &handler{runner: r, w: w, r: req, control: http.NewResponseController(w), answer: &bufferedAnswer{status: 500, body: []byte("error")}}
+				h.writeHead(http.StatusOK, http.Header{}, core.FramingChunks)
+				_, _ = io.WriteString(w, "begin")
+				_ = h.control.Flush()
+				h.execute(req.Context(), effect)
+			}))
+			c.Cleanup(server.Close)
+			resp, err := http.Get(server.URL)
+			c.Assert(err, qt.IsNil)
+			defer func() { _ = resp.Body.Close() }()
+			body, err := io.ReadAll(resp.Body)
+			c.Assert(err, qt.IsNotNil)
+			c.Assert(string(body), qt.Equals, "begin")
+		})
+	}
+}
--- a/internal/run/gateway/handler.go
+++ b/internal/run/gateway/handler.go
@@ -177,10 +177,12 @@
 	case core.Dispatch:
 		return h.attempt(ctx, e)
 	case core.Refuse:
+		h.guardBegun(string(e.Reason))
 		h.setOutcome(refusalOutcome(e.Reason))
 		h.runner.cfg.Protocol.WriteRefusal(h.w, h.request.ID, e.Reason, e.RetryAfter)
 		return true
 	case core.RelayError:
+		h.guardBegun("upstream's error")
 		h.writeBuffered()
 		return true
 	case core.Finish:
@@ -194,6 +196,17 @@
 	}
 }
 
+// guardBegun breaks an answer that has begun off in place of writing another one into it. The
+// reducer decides so itself where it knows that the answer has begun.
+func (h *handler) guardBegun(instead string) {
+	if h.framing == "" {
+		return
+	}
+	h.runner.log.Error().Str("step", "guard").Str("request", h.request.ID).Str("instead", instead).
+		Msg("answer had begun and is broken off")
+	h.abort()
+}
+
 // finish ends the answer in order.
 func (h *handler) finish() {
 	if h.framing == core.FramingClose {
