gateway: a resumed stream takes nothing but its next events

Reported by other operators: the text or head of an error in the middle of a stream.

Cause: whatever ends with an empty line was taken as an event, also from the upstream at which a begun stream is resumed. 5xx, other statuses and other types were kept out before.

Change: an attempt that continues a begun stream adds only lines of events, each event with an ID, and IDs that increase if they are numbers; lines that are none of an event end an answer that ends with its connection. Else it is malformed: again, or cut.

--- a/internal/run/gateway/answer_end_test.go
+++ b/internal/run/gateway/answer_end_test.go
@@ -222,12 +222,54 @@
 	rest := rawhttp.Answer{Head: streamHead + rawhttp.Chunked, Body: rawhttp.Chunk(event(4)) + rawhttp.Chunk("")}
 	want := received{200, "chunks", threeEvents + event(4), true}
 	for name, second := range map[string]rawhttp.Answer{
-		"document":   {Head: plainHead + rawhttp.Length(len(document)), Body: document},
-		"status 404": {Head: "HTTP/1.1 404 Not Found\r\n" + streamHead + rawhttp.Length(len(document)), Body: document},
-		"status 500": {Head: "HTTP/1.1 500 Internal Server Error\r\n" + streamHead + rawhttp.Length(len(document)), Body: document},
-		"refusal":    {Head: "HTTP/1.1 503 Service Unavailable\r\n" + streamHead + rawhttp.Length(len(document)), Body: document},
-		"no type":    {Head: rawhttp.Length(len(document)), Body: document},
+		"document":                   {Head: plainHead + rawhttp.Length(len(document)), Body: document},
+		"status 404":                 {Head: "HTTP/1.1 404 Not Found\r\n" + streamHead + rawhttp.Length(len(document)), Body: document},
+		"status 500":                 {Head: "HTTP/1.1 500 Internal Server Error\r\n" + streamHead + rawhttp.Unmarked + rawhttp.Length(len(document)), Body: document},
+		"refusal":                    {Head: "HTTP/1.1 503 Service Unavailable\r\n" + streamHead + rawhttp.Unmarked + rawhttp.Length(len(document)), Body: document},
+		"no type":                    {Head: rawhttp.Length(len(document)), Body: document},
+		"no type, with a blank line": {Head: rawhttp.Length(len(document) + 2), Body: document + "\n\n"},
+		"text":                       {Head: streamHead + rawhttp.Length(len("upstream failed: full\n\n")), Body: "upstream failed: full\n\n"},
+		"head":                       {Head: streamHead + rawhttp.Unmarked, Body: "HTTP/1.1 500 Internal Server Error\r\n" + plainHead + "\r\n" + document},
+		"event without an ID":        {Head: streamHead + rawhttp.Length(len("error: full\n\n")), Body: "error: full\n\n"},
+		"event again":                {Head: streamHead + rawhttp.Length(len(event(3))), Body: event(3)},
 	} {
 		answerEnd{name, resumePath, []rawhttp.Answer{broken, second, rest}, want}.run(t)
 	}
 }
+
+// TestHeadInsideStreamIsNoEvent guards against the head of a second answer in the body of one that ends
+// with its connection.
+func TestHeadInsideStreamIsNoEvent(t *testing.T) {
+	second := "HTTP/1.1 503 Service Unavailable\r\n" + plainHead + "\r\n" + document
+	answerEnd{"once", oncePath, one(streamHead+rawhttp.Unmarked, threeEvents+second), failed}.run(t)
+	first := rawhttp.Answer{Head: streamHead + rawhttp.Unmarked, Body: threeEvents + second}
+	rest := rawhttp.Answer{Head: streamHead + rawhttp.Chunked, Body: rawhttp.Chunk(threeEvents) + rawhttp.Chunk("")}
+	answerEnd{"again", resumePath, []rawhttp.Answer{first, rest}, received{200, "chunks", threeEvents, true}}.run(t)
+}
+
+func TestContinuation(t *testing.T) {
+	for _, row := range []struct {
+		resumed, lines bool
+		events         string
+		valid          bool
+	}{
+		{true, true, event(4) + event(5), true},
+		{true, true, ": comment\n\n" + event(4), true},
+		{true, true, "weight-versions: 2\nid: 4\ndata\n\n", true},
+		{true, true, "id: 4\r\ndata: a\r\n\r\nid: 5\r\n\r\n", true},
+		{true, true, "id: 4\rdata: a\r\r", true},
+		{true, true, "id: x4\ndata: a\n\n", true},
+		{true, true, event(3), false},
+		{true, true, event(4) + event(4), false},
+		{true, true, "data: a\n\n", false},
+		{true, true, event(4) + "HTTP/1.1 500 Error\r\n\r\n", false},
+		{true, true, "Content-Type: text/plain\r\n\r\n", false},
+		{true, true, document + "\n\n", false},
+		{false, true, "data: a\n\n", true},
+		{false, true, "HTTP/1.1 500 Error\r\n\r\n", false},
+		{false, false, "HTTP/1.1 500 Error\r\n\r\n", true},
+	} {
+		c := continuation{resumed: row.resumed, lines: row.lines, lastID: "3"}
+		qt.Check(t, c.check([]byte(row.events)) == nil, qt.Equals, row.valid, qt.Commentf("%q", row.events))
+	}
+}
--- a/internal/run/gateway/attempt.go
+++ b/internal/run/gateway/attempt.go
@@ -106,6 +106,7 @@
 	}
 	ended.PartialBytes = h.stream.partialBytes
 	if err != nil {
+		answer.Reject()
 		failed := failedAttempt(err)
 		ended.Result, ended.Detail, ended.Load = failed.Result, failed.Detail, nil
 	}
--- a/internal/run/gateway/stream.go
+++ b/internal/run/gateway/stream.go
@@ -33,6 +33,7 @@
 // that the stream can resume at another upstream after any of them.
 func (h *handler) relayEvents(answer *http1.Answer, d core.Dispatch) error {
 	h.stream.attempt = attemptPace{}
+	added := h.continuationOf(core.Framing(answer.Framing()))
 	var pending []byte
 	relayed := 0
 	buffer := make([]byte, readBufferBytes)
@@ -43,6 +44,9 @@
 		if end := lastEventEnd(pending[searched:]); end > 0 {
 			end += searched
 			relayed += end
+			if err := added.check(pending[:end]); err != nil {
+				return err
+			}
 			if err := h.writeEvents(answer, d, pending[:end]); err != nil {
 				return err
 			}
--- a/internal/wire/http1/answer.go
+++ b/internal/wire/http1/answer.go
@@ -177,6 +177,9 @@
 	}
 }
 
+// Reject marks the answer as one that its reader can't use. Its connection is not reused.
+func (a *Answer) Reject() { a.failed = true }
+
 // discard closes the connection without returning it to the pool.
 func (a *Answer) discard() {
 	a.stop()
