platform: an entry that can't be decoded leaves the others of its list

Cause: a page of the store is decoded as one document. encoding/json bounds the depth from the document's root, and a revision or a name of another type fails the call as a whole.

--- a/internal/run/gateway/feed.go
+++ b/internal/run/gateway/feed.go
@@ -21,6 +21,9 @@
 	turnCheckInterval = 500 * time.Millisecond
 )
 
+// feedNodes names the list of nodes in the log. It is no feed, since nobody watches it.
+const feedNodes core.FeedName = "nodes"
+
 // follow submits the changes of a feed until the node stops.
 func (r *Runner) follow(f Feed) {
 	revision := store.Revision{}
@@ -177,11 +180,13 @@
 
 // followNodes reads the list of nodes periodically.
 func (r *Runner) followNodes() {
+	reported := ""
 	for r.ctx.Err() == nil {
-		listed, err := r.cfg.Services.ListNodes(r.ctx)
+		listed, problems, err := r.cfg.Services.ListNodes(r.ctx)
 		if err != nil {
 			r.log.Warn().Str("step", "nodes").Err(err).Msg("list of nodes not read")
 		} else {
+			reported = r.logProblems(Feed{Name: feedNodes}, problems, reported)
 			r.submit(listed)
 		}
 		interval := r.nodesInterval()
--- a/internal/run/gateway/protocol.go
+++ b/internal/run/gateway/protocol.go
@@ -100,7 +100,8 @@
 	// and with each new reason why an answer names no valid one.
 	FollowGeneration func(report func(generation int64), invalid func(error))
 	DecodeConfig     func(body []byte) (route.Config, error)
-	ListNodes        func(ctx context.Context) (core.NodesListed, error)
+	// ListNodes returns the listed nodes, and an error for each entry that can't be decoded.
+	ListNodes        func(ctx context.Context) (core.NodesListed, []error, error)
 	RegisterNode     func(ctx context.Context, node, peerAddress string) error
 	RemoveNode       func(ctx context.Context, node string) error
 	ReadLease        func(ctx context.Context) (core.LeaseRead, error)
