upstreamhttp: an answer names its exchange, not only the submission

A request that comes again keeps its submission, so that a late copy of its own refusal was taken as a second one while it ran; and a copy of any answer was taken as a report of no load.

Change: Request-Instance is new at each try, and load reports that name another exchange are errors.

Tests: TestLateCopyOfOwnRefusalRefusesNothing and TestLateCopyIsNoLoadReport failed before.

--- a/internal/wire/upstreamhttp/client.go
+++ b/internal/wire/upstreamhttp/client.go
@@ -21,7 +21,9 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -38,7 +40,8 @@
 	CallPath     = "/v1/call"
 	LoadPath     = "/v1/load"
 	// HeaderKey is the header with the request's key, HeaderInstance the one with
-	// the ID of its submission, which the upstream returns with its answer.
+	// the ID of the exchange, which the upstream returns with its answer. It begins with the ID of
+	// the request's submission and is new at each try.
 	HeaderKey      = "Idempotency-Key"
 	HeaderInstance = "Request-Instance"
 	// EventToken and EventDone are the names of the events of an engine's answer.
@@ -90,8 +93,10 @@
 // Client sends requests to upstreams.
 type Client struct {
 	http *http.Client
-	// echoing holds the addresses of the upstreams that return the submission's ID.
+	// echoing holds the addresses of the upstreams that return the exchange's ID.
 	echoing sync.Map
+	// exchanges counts the exchanges so far.
+	exchanges atomic.Uint64
 }
 
 // New returns a client that uses the given HTTP client.
@@ -104,13 +109,14 @@
 	defer cancel(nil)
 	watchdog := time.AfterFunc(d.ProgressTimeout, func() { cancel(errStalled) })
 	defer watchdog.Stop()
-	resp, err := c.post(ctx, d)
+	id := c.nextID(d.Request.Instance)
+	resp, err := c.post(ctx, d, id)
 	if err != nil {
 		report(failureEvent(ctx, d.Attempt, err, connectCause(err)))
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if err := c.checkInstance(d, resp); err != nil {
+	if err := c.checkInstance(d.Upstream.Address, id, resp); err != nil {
 		report(failureEvent(ctx, d.Attempt, err, node.CauseCrashed))
 		return
 	}
@@ -131,7 +137,13 @@
 
 var errStalled = errors.New("no progress within the time-out")
 
-func (c *Client) post(ctx context.Context, d node.Dispatch) (*http.Response, error) {
+// nextID returns the ID of the next exchange for a submission. A request that comes again keeps its
+// submission, so that this does not tell a copy of an earlier answer to it from the answer.
+func (c *Client) nextID(instance string) string {
+	return instance + "." + strconv.FormatUint(c.exchanges.Add(1), 10)
+}
+
+func (c *Client) post(ctx context.Context, d node.Dispatch, id string) (*http.Response, error) {
 	path, body, err := encode(d)
 	if err != nil {
 		return nil, err
@@ -145,19 +157,18 @@
 	req.GetBody = nil
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(HeaderKey, d.Request.Key)
-	req.Header.Set(HeaderInstance, d.Request.Instance)
+	req.Header.Set(HeaderInstance, id)
 	_, echoes := c.echoing.Load(d.Upstream.Address)
 	req.Close = !echoes
 	return c.http.Do(req)
 }
 
-// checkInstance returns an error if an answer is to another request, or may be: on a connection
+// checkInstance returns an error if an answer is of another exchange, or may be: on a connection
 // that was used before, an upstream may send a second copy of an earlier answer.
-func (c *Client) checkInstance(d node.Dispatch, resp *http.Response) error {
-	address := d.Upstream.Address
-	got, want := resp.Header.Get(HeaderInstance), d.Request.Instance
+func (c *Client) checkInstance(address, want string, resp *http.Response) error {
+	got := resp.Header.Get(HeaderInstance)
 	switch {
-	case got == want && got != "":
+	case got == want:
 		c.echoing.Store(address, true)
 		return nil
 	case got == "" && resp.Request.Close:
@@ -290,11 +301,18 @@
 	if err != nil {
 		return upstream.Load{}, errors.Wrapf(err, "create load request to %s", u.ID)
 	}
+	id := c.nextID("load")
+	req.Header.Set(HeaderInstance, id)
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return upstream.Load{}, errors.Wrapf(err, "get load of %s", u.ID)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	// Upstreams need not return the ID with a report, but other answers have their own.
+	if got := resp.Header.Get(HeaderInstance); got != "" && got != id {
+		c.http.CloseIdleConnections()
+		return upstream.Load{}, errors.Errorf("get load of %s: got an answer to %q, expected one to %q", u.ID, got, id)
+	}
 	var l *Load
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxLoadBytes)).Decode(&l); err != nil {
 		return upstream.Load{}, errors.Wrapf(err, "decode load of %s", u.ID)
