--- a/internal/run/gateway/protocol.go
+++ b/internal/run/gateway/protocol.go
@@ -101,13 +101,13 @@
 	FollowGeneration func(report func(generation int64), invalid func(error))
 	DecodeConfig     func(body []byte) (route.Config, error)
 	// ListNodes returns the listed nodes, and an error for each entry that can't be decoded.
-	ListNodes        func(ctx context.Context) (core.NodesListed, []error, error)
-	RegisterNode     func(ctx context.Context, node, peerAddress string) error
-	RemoveNode       func(ctx context.Context, node string) error
-	ReadLease        func(ctx context.Context) (core.LeaseRead, error)
-	WriteLease       func(ctx context.Context, l leader.Lease, ifRevision store.Revision) (core.LeaseWritten, error)
-	ReportUsage      func(ctx context.Context, r leader.Report, token int64) error
-	WriteRollout     func(ctx context.Context, o rollout.Order) (core.RolloutWritten, error)
+	ListNodes    func(ctx context.Context) (core.NodesListed, []error, error)
+	RegisterNode func(ctx context.Context, node, peerAddress string) error
+	RemoveNode   func(ctx context.Context, node string) error
+	ReadLease    func(ctx context.Context) (core.LeaseRead, error)
+	WriteLease   func(ctx context.Context, l leader.Lease, ifRevision store.Revision) (core.LeaseWritten, error)
+	ReportUsage  func(ctx context.Context, r leader.Report, token int64) error
+	WriteRollout func(ctx context.Context, o rollout.Order) (core.RolloutWritten, error)
 	// ReadQuarantine returns Done with an error if the store has answered and the
 	// answer can't be decoded.
 	ReadQuarantine  func(ctx context.Context) (core.QuarantineRead, error)
