--- a/internal/wire/http1/pool.go
+++ b/internal/wire/http1/pool.go
@@ -71,7 +71,7 @@
 	expires time.Time
 	// number identifies the connection in logs.
 	number uint64
-	// carried holds the requests that were sent on the connection before the current one.
+	// carried holds the requests that were sent on the connection, if answers name them.
 	carried history
 }
 
@@ -118,7 +118,9 @@
 		pool: p, conn: c, dialed: dialed, method: r.Method, id: r.ID, maxIdle: r.MaxIdle,
 		connection: Connection{Number: c.number, Exchanges: c.carried.len()},
 	}
-	c.carried.add(r.ID)
+	if p.cfg.AnswerID != nil {
+		c.carried.add(r.ID)
+	}
 	// A deadline in the past interrupts pending reads and writes.
 	a.stop = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	if err := a.exchange(r); err != nil {
