--- a/internal/wire/http1/doc.go
+++ b/internal/wire/http1/doc.go
@@ -15,6 +15,14 @@
 // the pool reuses a connection, it checks that the connection is still open and
 // has no unread bytes.
 //
+// # Whose answer
+//
+// An upstream may send an answer a second time, late: where the answer to the next
+// request is expected. A connection therefore remembers the IDs of the requests that it
+// has carried. A request never gets a connection that has carried it, answers that name
+// an earlier request are skipped, and Own reports whether an answer is that to the
+// request. A request without an ID has a connection of its own.
+//
 // # Ends of answers
 //
 // Read returns io.EOF at the end that the answer's framing gives. With FramingClose
@@ -28,8 +36,8 @@
 //
 // # Usage
 //
-//	pool := http1.New(http1.Config{Clock: clock})
-//	answer, err := pool.Do(ctx, "10.0.0.1:8080", &http1.Request{Method: "GET", Target: "/"})
+//	pool := http1.New(http1.Config{Clock: clock, AnswerID: answerID})
+//	answer, err := pool.Do(ctx, "10.0.0.1:8080", &http1.Request{ID: "a1", Method: "GET", Target: "/"})
 //	if err != nil {
 //		notRun := !http1.Written(err)
 //	}
