--- a/internal/run/gateway/copies_test.go
+++ b/internal/run/gateway/copies_test.go
@@ -56,9 +56,9 @@
 	return r
 }
 
-// stutterer is an upstream that sends each answer a second time, late: where the answer to the next
+// duplicator is an upstream that sends each answer a second time, late: where the answer to the next
 // request on the connection is expected.
-type stutterer struct {
+type duplicator struct {
 	address string
 	// answer returns the head lines and the body of the answer to a request, and whether it runs.
 	answer func(path string, tries int) (text string, runs bool)
@@ -68,11 +68,11 @@
 	copies int
 }
 
-func startStutterer(c *qt.C, answer func(path string, tries int) (text string, runs bool)) *stutterer {
+func startDuplicator(c *qt.C, answer func(path string, tries int) (text string, runs bool)) *duplicator {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() { _ = l.Close() })
-	s := &stutterer{address: l.Addr().String(), answer: answer, tries: map[string]int{}, runs: map[string]int{}}
+	s := &duplicator{address: l.Addr().String(), answer: answer, tries: map[string]int{}, runs: map[string]int{}}
 	go func() {
 		for {
 			conn, err := l.Accept()
@@ -85,7 +85,7 @@
 	return s
 }
 
-func (s *stutterer) serve(conn net.Conn) {
+func (s *duplicator) serve(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
 	reader, earlier := bufio.NewReader(conn), ""
 	for {
@@ -102,7 +102,7 @@
 	}
 }
 
-func (s *stutterer) next(path string, copied bool) string {
+func (s *duplicator) next(path string, copied bool) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.tries[path]++
@@ -116,7 +116,7 @@
 	return text
 }
 
-func (s *stutterer) ran(path string) int {
+func (s *duplicator) ran(path string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.runs[path]
@@ -151,7 +151,7 @@
 // refused as not run, or sent to a second upstream.
 func TestCopyOfRefusalRefusesNoOtherRequest(t *testing.T) {
 	c := qt.New(t)
-	s := startStutterer(c, func(path string, _ int) (string, bool) {
+	s := startDuplicator(c, func(path string, _ int) (string, bool) {
 		if strings.HasSuffix(path, "/full") {
 			return refusal(path), false
 		}
@@ -176,7 +176,7 @@
 // where the answer to its next try is expected: it bears the right ID, but the request runs.
 func TestCopyOfOwnRefusalIsNoSecondRefusal(t *testing.T) {
 	c := qt.New(t)
-	s := startStutterer(c, func(path string, tries int) (string, bool) {
+	s := startDuplicator(c, func(path string, tries int) (string, bool) {
 		if tries == 1 {
 			return refusal(path), false
 		}
@@ -192,7 +192,7 @@
 // resumed stream is expected.
 func TestCopyOfRefusalEndsNoResumedStream(t *testing.T) {
 	c := qt.New(t)
-	s := startStutterer(c, func(path string, tries int) (string, bool) {
+	s := startDuplicator(c, func(path string, tries int) (string, bool) {
 		head := "HTTP/1.1 200 OK\r\n" + nameOf(path) + streamHead
 		switch {
 		case strings.HasSuffix(path, "/full"):
@@ -220,7 +220,7 @@
 // a copy of an earlier refusal, so that an unsafe request is neither sent again nor called not run.
 func TestRefusalThatNamesNobodyProvesNothing(t *testing.T) {
 	c := qt.New(t)
-	s := startStutterer(c, func(path string, _ int) (string, bool) {
+	s := startDuplicator(c, func(path string, _ int) (string, bool) {
 		if strings.HasSuffix(path, "/2") {
 			return "HTTP/1.1 503 Service Unavailable\r\n" + headerNotRun + ": 1\r\nContent-Length: 0\r\n\r\n", true
 		}
@@ -241,7 +241,7 @@
 // not carried is not passed on.
 func TestAnswerThatNamesAnotherRequestIsNone(t *testing.T) {
 	c := qt.New(t)
-	s := startStutterer(c, func(string, int) (string, bool) { return goodAnswer("/o/other", "other's"), true })
+	s := startDuplicator(c, func(string, int) (string, bool) { return goodAnswer("/o/other", "other's"), true })
 	status, body := read(c, newNamingNode(s.address), "/o/1")
 	c.Assert(status, qt.Equals, http.StatusServiceUnavailable)
 	c.Assert(body, qt.Equals, string(core.ReasonFailed))
--- a/internal/standin/stutter/stutter.go
+++ b/internal/standin/duplicates/duplicates.go
@@ -1,12 +1,12 @@
-// Package stutter is a listener whose connections send answers a second time, late: where the answer
+// Package duplicates is a listener whose connections send answers a second time, late: where the answer
 // to a later request on the same connection is expected.
 //
 // # Usage
 //
-//	l := stutter.Listen(inner)
+//	l := duplicates.Listen(inner)
 //	go server.Serve(l)
 //	l.SetShare(0.3)
-package stutter
+package duplicates
 
 import (
 	"math/rand/v2"
