--- a/internal/run/gateway/copies_test.go
+++ b/internal/run/gateway/copies_test.go
@@ -60,19 +60,19 @@
 // request on the connection is expected.
 type duplicator struct {
 	address string
-	// answer returns the head lines and the body of the answer to a request, and whether it runs.
-	answer func(path string, tries int) (text string, runs bool)
+	// reply returns the bytes of the answer to a request, and whether the request runs.
+	reply  func(path string, tries int) (text string, runs bool)
 	mu     sync.Mutex
 	tries  map[string]int
 	runs   map[string]int
 	copies int
 }
 
-func startDuplicator(c *qt.C, answer func(path string, tries int) (text string, runs bool)) *duplicator {
+func startDuplicator(c *qt.C, reply func(path string, tries int) (text string, runs bool)) *duplicator {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() { _ = l.Close() })
-	s := &duplicator{address: l.Addr().String(), answer: answer, tries: map[string]int{}, runs: map[string]int{}}
+	s := &duplicator{address: l.Addr().String(), reply: reply, tries: map[string]int{}, runs: map[string]int{}}
 	go func() {
 		for {
 			conn, err := l.Accept()
@@ -106,7 +106,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.tries[path]++
-	text, runs := s.answer(path, s.tries[path])
+	text, runs := s.reply(path, s.tries[path])
 	if runs {
 		s.runs[path]++
 	}
@@ -132,18 +132,23 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", nameOf(path), len(body), body)
 }
 
-func read(c *qt.C, r *Runner, path string) (status int, body string) {
-	server := serveNode(c, r)
-	return readFrom(c, func() (*http.Response, error) { return get(c, context.Background(), server, path) })
+// answer is what a caller got.
+type answer struct {
+	status int
+	body   string
 }
 
-func readFrom(c *qt.C, send func() (*http.Response, error)) (status int, body string) {
-	resp, err := send()
-	c.Assert(err, qt.IsNil)
-	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(resp.Body)
-	c.Assert(err, qt.IsNil)
-	return resp.StatusCode, string(data)
+// callerOf returns a function that sends a request to a node and reads the answer.
+func callerOf(c *qt.C, r *Runner) func(path string) answer {
+	server := serveNode(c, r)
+	return func(path string) answer {
+		resp, err := get(c, context.Background(), server, path)
+		c.Assert(err, qt.IsNil)
+		defer func() { _ = resp.Body.Close() }()
+		body, err := io.ReadAll(resp.Body)
+		c.Assert(err, qt.IsNil)
+		return answer{resp.StatusCode, string(body)}
+	}
 }
 
 // TestCopyOfRefusalRefusesNoOtherRequest guards against a late second copy of the refusal of one
@@ -157,16 +162,10 @@
 		}
 		return goodAnswer(path, "ran "+path), true
 	})
-	server := serveNode(c, newNamingNode(s.address))
-	send := func(path string) (int, string) {
-		return readFrom(c, func() (*http.Response, error) { return get(c, context.Background(), server, path) })
-	}
-	status, _ := send("/o/full")
-	c.Assert(status, qt.Equals, http.StatusServiceUnavailable)
+	send := callerOf(c, newNamingNode(s.address))
+	c.Assert(send("/o/full").status, qt.Equals, http.StatusServiceUnavailable)
 	for _, path := range []string{"/o/1", "/o/2", "/o/3"} {
-		status, body := send(path)
-		c.Assert(status, qt.Equals, http.StatusOK, qt.Commentf("%s", path))
-		c.Assert(body, qt.Equals, "ran "+path)
+		c.Assert(send(path), qt.Equals, answer{http.StatusOK, "ran " + path})
 		c.Assert(s.ran(path), qt.Equals, 1)
 	}
 	c.Assert(s.copies > 0, qt.IsTrue)
@@ -182,9 +181,7 @@
 		}
 		return goodAnswer(path, "ran"), true
 	})
-	status, body := read(c, newNamingNode(s.address), "/o/1")
-	c.Assert(status, qt.Equals, http.StatusOK)
-	c.Assert(body, qt.Equals, "ran")
+	c.Assert(callerOf(c, newNamingNode(s.address))("/o/1"), qt.Equals, answer{http.StatusOK, "ran"})
 	c.Assert(s.ran("/o/1"), qt.Equals, 1)
 }
 
@@ -204,15 +201,10 @@
 			return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(event(4)), event(4)), true
 		}
 	})
-	server := serveNode(c, newNamingNode(s.address))
-	send := func(path string) (int, string) {
-		return readFrom(c, func() (*http.Response, error) { return get(c, context.Background(), server, path) })
-	}
+	send := callerOf(c, newNamingNode(s.address))
 	send("/o/full")
 	for _, path := range []string{"/s/1", "/s/2"} {
-		status, body := send(path)
-		c.Assert(status, qt.Equals, http.StatusOK)
-		c.Assert(body, qt.Equals, threeEvents+event(4))
+		c.Assert(send(path), qt.Equals, answer{http.StatusOK, threeEvents + event(4)})
 	}
 }
 
@@ -226,14 +218,9 @@
 		}
 		return goodAnswer(path, "ran"), true
 	})
-	r := newNamingNode(s.address)
-	server := serveNode(c, r)
-	send := func(path string) (int, string) {
-		return readFrom(c, func() (*http.Response, error) { return get(c, context.Background(), server, path) })
-	}
+	send := callerOf(c, newNamingNode(s.address))
 	send("/o/1")
-	_, body := send("/o/2")
-	c.Assert(body, qt.Equals, string(core.ReasonFailed))
+	c.Assert(send("/o/2").body, qt.Equals, string(core.ReasonFailed))
 	c.Assert(s.ran("/o/2"), qt.Equals, 1)
 }
 
@@ -242,7 +229,6 @@
 func TestAnswerThatNamesAnotherRequestIsNone(t *testing.T) {
 	c := qt.New(t)
 	s := startDuplicator(c, func(string, int) (string, bool) { return goodAnswer("/o/other", "other's"), true })
-	status, body := read(c, newNamingNode(s.address), "/o/1")
-	c.Assert(status, qt.Equals, http.StatusServiceUnavailable)
-	c.Assert(body, qt.Equals, string(core.ReasonFailed))
+	send := callerOf(c, newNamingNode(s.address))
+	c.Assert(send("/o/1"), qt.Equals, answer{http.StatusServiceUnavailable, string(core.ReasonFailed)})
 }
