leader, gateway: a lease holder that loses the store resigns

Cause: the store turned the lease holder away while it served the others, just while zones of upstreams were reclaimed. The holder stopped claiming the lease after 1 s, a successor waited up to 3 s and then a term: nobody ordered upstreams for 7 s. Change: the holder resigns by its status once the store has not served it for 0.5 s while peers reach it; the next node writes the lease at once. Statuses carry the lease's revision, so that after a kill only the rest of the term is waited for. Nodes without the lease observe demand and reclaims, for the case that they take over. Ruled out: orders by the former holder within its term (3 s at most, no renewal).

--- a/internal/core/fleet/plan.go
+++ b/internal/core/fleet/plan.go
@@ -131,6 +131,20 @@
 	return slices.ContainsFunc(p.zones, func(zone string) bool { return p.inShortage(now, zone) })
 }
 
+// Observe records the demand and the reclaims that the view shows, without an order.
+func (p *Planner) Observe(now time.Time, v View) {
+	p.updateZones(v)
+	if len(p.zones) == 0 {
+		return
+	}
+	p.recordReclaims(now, v)
+	p.demand.recordInitial(now, p.count(v))
+	p.demand.update(now, v.BusyEngines, len(p.zones))
+}
+
+// OrderOpen reports whether an order has been returned by Next and not been answered.
+func (p *Planner) OrderOpen() bool { return p.orderOpen }
+
 // HasOrder reports whether Next would return an order.
 func (p *Planner) HasOrder(now time.Time, v View) bool {
 	_, ok := p.nextOrder(now, v)
--- a/internal/core/gateway/duties.go
+++ b/internal/core/gateway/duties.go
@@ -15,11 +15,6 @@
 	// retryInterval is the interval between two attempts to report usage or to
 	// write the verdict of a rollout.
 	retryInterval = time.Second
-	// acquireStagger is the delay, for each ready node before this one in order
-	// of name, until this node acquires a lease that no node seems to hold.
-	// maxAcquireStagger bounds the sum.
-	acquireStagger    = time.Second
-	maxAcquireStagger = 2 * time.Second
 	// usageSuccessors is the number of nodes, the first in order of name, that
 	// receive the usage in addition to the lease holder, because they are the
 	// first to acquire the lease after it.
@@ -114,6 +109,11 @@
 	}
 	g.acquireLease()
 	if !g.lease.Held() {
+		g.observeFleet()
+		return
+	}
+	if g.resignsLease() {
+		g.resignLease()
 		return
 	}
 	g.reportUsage()
@@ -121,40 +121,6 @@
 	g.removeSilentNodes()
 }
 
-func (g *Gateway) acquireLease() {
-	if g.lease.Unconfirmed() {
-		if call, ok := g.lease.Acquire(g.now); ok {
-			g.emitStoreCall(call)
-		}
-		return
-	}
-	if g.lease.Held() || g.leaseHolderInContact() {
-		g.usage.unheldSince = time.Time{}
-		return
-	}
-	if g.usage.unheldSince.IsZero() {
-		g.usage.unheldSince = g.now
-	}
-	if g.now.Sub(g.usage.unheldSince) < g.acquireDelay() {
-		return
-	}
-	if call, ok := g.lease.Acquire(g.now); ok {
-		g.emitStoreCall(call)
-	}
-}
-
-func (g *Gateway) leaseWritten(e LeaseWritten) {
-	before := g.lease.Held()
-	g.lease.HandleWritten(g.now, e.Result, e.Stored)
-	if g.lease.Held() != before {
-		g.log("lease", "lease changed", "held", g.lease.Held(), "token", g.lease.FencingToken(), "result", string(e.Result))
-		g.count(CountDuty, "lease_changed")
-	}
-	if g.lease.Held() && !g.stopping {
-		g.reportUsage()
-	}
-}
-
 // reportUsage writes the counts of a window into the lease and then reports
 // them. A report that the previous lease holder wrote is sent unchanged.
 func (g *Gateway) reportUsage() {
@@ -218,6 +184,7 @@
 func (g *Gateway) usageReported(e UsageReported) {
 	g.usage.sending = false
 	if !e.Accepted {
+		g.callFailedAt = g.now
 		g.usage.retryAt = g.now.Add(retryInterval)
 		g.count(CountDuty, "usage_failed")
 		return
@@ -243,31 +210,6 @@
 	}
 }
 
-// leaseHolderInContact reports whether another node in contact claims the lease
-// with a fencing token at least as high as the one known here.
-func (g *Gateway) leaseHolderInContact() bool {
-	for _, m := range g.members {
-		if g.inContact(m) && m.status.LeaseToken > 0 && m.status.LeaseToken >= g.lease.FencingToken() {
-			return true
-		}
-	}
-	return false
-}
-
-// acquireDelay returns the delay until this node acquires a lease that no node
-// seems to hold. It lets the ready nodes before this one in order of name
-// acquire the lease first, and grows with their number, because the first of
-// them may not reach the store.
-func (g *Gateway) acquireDelay() time.Duration {
-	before := 0
-	for _, m := range g.members {
-		if g.inContact(m) && m.status.Ready && m.node < g.cfg.Node {
-			before++
-		}
-	}
-	return silentIntervals*statusInterval + min(time.Duration(before)*acquireStagger, maxAcquireStagger)
-}
-
 // usageReaders returns the nodes that receive this node's usage: those that
 // claim the lease and those that would acquire it first. It returns nil, which
 // means all nodes, while no node claims the lease.
--- a/internal/core/gateway/fleet.go
+++ b/internal/core/gateway/fleet.go
@@ -6,6 +6,7 @@
 	"monsoonlanding/internal/core/average"
 	"monsoonlanding/internal/core/fleet"
 	"monsoonlanding/internal/core/placement"
+	"monsoonlanding/internal/core/route"
 )
 
 const (
@@ -62,21 +63,55 @@
 		return
 	}
 	for _, s := range g.table.Services() {
-		if s.Scaling == nil {
-			continue
+		if s.Scaling != nil {
+			g.orderUpstreams(g.planner(s), s.Name)
+		}
+	}
+}
+
+// fleetObserveInterval is the interval at which nodes without the lease observe the fleets.
+const fleetObserveInterval = time.Second
+
+// observeFleet observes demand and reclaims on a node that doesn't hold the lease, so that it
+// knows them if it takes over in the middle of a wave of reclaims.
+func (g *Gateway) observeFleet() {
+	if !g.cfg.Bounds.OrdersFleet || !g.upstreamsRead || g.now.Sub(g.fleetObservedAt) < fleetObserveInterval {
+		return
+	}
+	g.fleetObservedAt = g.now
+	for _, s := range g.table.Services() {
+		if s.Scaling != nil {
+			g.planner(s).Observe(g.now, g.fleetView(s.Name))
 		}
-		p := g.planners[s.Name]
-		if p == nil {
-			p = fleet.New(s.Name, *s.Scaling)
-			g.planners[s.Name] = p
+	}
+}
+
+func (g *Gateway) planner(s route.Service) *fleet.Planner {
+	p := g.planners[s.Name]
+	if p == nil {
+		p = fleet.New(s.Name, *s.Scaling)
+		g.planners[s.Name] = p
+	}
+	p.SetScaling(*s.Scaling)
+	return p
+}
+
+// fleetOrderOpen reports whether an order of upstreams has not been answered.
+func (g *Gateway) fleetOrderOpen() bool {
+	for _, p := range g.planners {
+		if p.OrderOpen() {
+			return true
 		}
-		p.SetScaling(*s.Scaling)
-		g.orderUpstreams(p, s.Name)
 	}
+	return false
+}
+
+func (g *Gateway) fleetView(service string) fleet.View {
+	return fleet.View{Upstreams: g.upstreams.All(), BusyEngines: g.totalWork(service), KeepAll: g.rollingOut(service)}
 }
 
 func (g *Gateway) orderUpstreams(p *fleet.Planner, service string) {
-	view := fleet.View{Upstreams: g.upstreams.All(), BusyEngines: g.totalWork(service), KeepAll: g.rollingOut(service)}
+	view := g.fleetView(service)
 	if !p.HasOrder(g.now, view) {
 		return
 	}
@@ -104,6 +139,9 @@
 
 func (g *Gateway) fleetOrdered(e FleetOrdered) {
 	g.count(CountDuty, "fleet_"+string(e.Outcome))
+	if e.Outcome == fleet.Unknown {
+		g.callFailedAt = g.now
+	}
 	if p := g.planners[e.Order.Service]; p != nil {
 		p.RecordOutcome(g.now, e.Order, e.Outcome)
 	}
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -86,7 +86,14 @@
 	storeGeneration int64
 	// behindSince is when a peer first reported a change after knownRevision.
 	behindSince time.Time
+	// storeLostAt is when the latest store outage began.
 	storeDown   bool
+	storeLostAt time.Time
+	// leaseFailingSince is when the first call for the lease failed since the latest one that the
+	// store answered, zero if none has.
+	leaseFailingSince time.Time
+	// callFailedAt is when the latest call that only the lease holder makes had no answer.
+	callFailedAt time.Time
 	// storeRegainedAt is when the latest store outage ended that affected this
 	// node and all peers in contact, zero if there was none.
 	storeRegainedAt time.Time
@@ -131,6 +138,8 @@
 	lease        *leader.Elector
 	usage        usage
 	planners     map[string]*fleet.Planner
+	// fleetObservedAt is when this node observed the fleets without the lease.
+	fleetObservedAt time.Time
 	// rollouts holds the rollouts by service.
 	rollouts map[string]*rolloutState
 	// paces holds the usual times of answers, by route.
@@ -263,7 +272,7 @@
 	case NodesListed:
 		g.nodesListed(e)
 	case LeaseRead:
-		g.lease.HandleRead(g.now, e.Result, e.Stored)
+		g.leaseRead(e)
 	case LeaseWritten:
 		g.leaseWritten(e)
 	case UsageReported:
--- a/internal/core/gateway/platform.go
+++ b/internal/core/gateway/platform.go
@@ -221,7 +221,7 @@
 	if g.storeDown {
 		return
 	}
-	g.storeDown = true
+	g.storeDown, g.storeLostAt = true, g.now
 	g.log("store", "store lost")
 }
 
--- a/internal/core/gateway/status.go
+++ b/internal/core/gateway/status.go
@@ -51,7 +51,9 @@
 	}
 	if g.lease.Claims(g.now) {
 		s.LeaseToken = g.lease.FencingToken()
+		s.LeaseRevision = g.ownRevision(g.lease.Revision())
 	}
+	s.ResignedToken = g.lease.Resigned()
 	for id, p := range g.upstreams.OwnLoads() {
 		s.Load = append(s.Load, peer.UpstreamLoad{Upstream: id, Running: p.Running, Prefill: p.Prefill, Memory: p.Memory})
 	}
@@ -159,6 +161,7 @@
 	g.quarantine.Merge(g.now, s.Node, s.Quarantine)
 	g.judge()
 	g.usage.peerReported(s)
+	g.noteLease(s)
 	if s.Report != nil {
 		g.lease.NoteReport(leader.Report{Window: s.Report.Window, Counts: s.Report.Counts, Accepted: s.Report.Accepted})
 	}
--- a/internal/core/leader/doc.go
+++ b/internal/core/leader/doc.go
@@ -8,8 +8,9 @@
 // within the lease term, which begins at the start of its latest successful
 // write. Another node takes over the lease once it has observed the same
 // revision for the term and a margin, or at once if the holder has released the
-// lease or was an earlier process on the same VM. The fencing token increases
-// with each new holder. Times must come from a clock that also advances while
+// lease or was an earlier process on the same VM. A holder that the store does
+// not serve resigns by a message to its peers instead. The fencing token
+// increases with each new holder. Times must come from a clock that also advances while
 // the VM is suspended.
 //
 // # Usage
--- a/internal/core/leader/lease.go
+++ b/internal/core/leader/lease.go
@@ -98,6 +98,15 @@
 	// lease of the new generation is written, no other process can hold one.
 	mayReclaim bool
 
+	// resigned is the latest fencing token that its holder, this process or another, has
+	// resigned; resignedHere is the latest one that this process has.
+	resigned, resignedHere int64
+	// barredUntil is when this process may acquire the lease again after it has resigned.
+	barredUntil time.Time
+	// seen is the latest revision that the holder has reported, since seenAt.
+	seen   store.Revision
+	seenAt time.Time
+
 	// held reports whether this process owns the latest known lease and is not
 	// releasing it. validUntil is the end of the term that began with the latest
 	// successful write.
@@ -140,6 +149,9 @@
 	return !unanswered || now.Sub(e.pendingAt) <= maxUnconfirmed
 }
 
+// Revision returns the revision of the latest known lease.
+func (e *Elector) Revision() store.Revision { return e.latest.Revision }
+
 // FencingToken returns the fencing token of the latest known lease.
 func (e *Elector) FencingToken() int64 { return e.latest.Lease.FencingToken }
 
@@ -156,7 +168,7 @@
 // Acquire tries to acquire the lease. It must be called only while no other node
 // is known to hold it. It returns the next call to the store, if there is one.
 func (e *Elector) Acquire(now time.Time) (StoreCall, bool) {
-	if e.Busy() || now.Before(e.retryAt) {
+	if e.Busy() || now.Before(e.retryAt) || now.Before(e.barredUntil) {
 		return StoreCall{}, false
 	}
 	if !e.haveLatest || e.unconfirmed || e.needsConfirmation(now) {
@@ -177,9 +189,10 @@
 	return !e.held && !e.heldBySelf() && now.Sub(e.firstReadAt) > e.term+takeoverMargin && now.Sub(e.retryAt) > retryInterval
 }
 
-// available reports whether the lease may be taken over: it is released, it
-// belongs to an earlier process on this VM, or its term and the margin have
-// passed. What a lease of an earlier generation says may have changed since.
+// available reports whether the lease may be taken over: it is released or
+// resigned, it belongs to an earlier process on this VM, or its term and the
+// margin have passed. What a lease of an earlier generation says may have
+// changed since.
 func (e *Elector) available(now time.Time) bool {
 	l := e.latest.Lease
 	if l.Generation != e.generation {
@@ -188,6 +201,9 @@
 	if l.Holder == "" || l.Holder == e.self && l.ProcessStart != e.start {
 		return true
 	}
+	if l.FencingToken <= e.resigned {
+		return true
+	}
 	return now.Sub(e.firstReadAt) > e.term+takeoverMargin
 }
 
@@ -282,6 +298,7 @@
 	switch result {
 	case ResultOK:
 		e.unconfirmed = false
+		e.retryAt = now
 		e.setLatest(now, stored)
 	case ResultMissing:
 		e.unconfirmed = false
@@ -297,9 +314,12 @@
 	e.mayReclaim = e.mayReclaim && stored.Lease.Generation < e.generation
 	if !e.haveLatest || stored.Revision != e.latest.Revision {
 		e.firstReadAt = now
+		if !e.seen.IsZero() && stored.Revision == e.seen {
+			e.firstReadAt = e.seenAt
+		}
 	}
 	e.latest, e.haveLatest = stored, true
-	if !e.heldBySelf() {
+	if !e.heldBySelf() || stored.Lease.FencingToken <= e.resignedHere {
 		e.held = false
 		return
 	}
--- a/internal/core/peer/status.go
+++ b/internal/core/peer/status.go
@@ -35,6 +35,10 @@
 	Time time.Time `cbor:"11,keyasint"`
 	// LeaseToken is the fencing token of the lease that the node holds, or 0.
 	LeaseToken int64 `cbor:"12,keyasint"`
+	// LeaseRevision is the revision of the lease that the node claims, 0 if it claims none.
+	LeaseRevision int64 `cbor:"41,keyasint,omitempty"`
+	// ResignedToken is the latest fencing token that the node has resigned, 0 if none.
+	ResignedToken int64 `cbor:"40,keyasint,omitempty"`
 	// KnownNodes lists a few nodes that the sender has received messages from
 	// recently.
 	KnownNodes []KnownNode `cbor:"13,keyasint"`
