fleet, gateway: the next lease holder knows the orders of the one before

Cause: orders are absolute numbers. Change: the holder's statuses carry the accepted orders that are still starting; every node notes them in its planner.

--- a/internal/core/fleet/order.go
+++ b/internal/core/fleet/order.go
@@ -39,12 +39,50 @@
 // were ordered and may still be starting.
 func (p *Planner) expected(now time.Time, s segment, ready int) int {
 	o := p.orders[s]
-	if o == nil || !o.valid || now.Sub(o.acceptedAt) > p.scaling.StartTime+startMargin {
+	if o == nil || !p.pending(now, o) {
 		return ready
 	}
 	return o.count
 }
 
+// AcceptedOrder is an order that the platform has accepted, at a time.
+type AcceptedOrder struct {
+	Order
+	At time.Time
+}
+
+// Accepted returns the accepted orders whose upstreams may still be starting, in order of zone.
+func (p *Planner) Accepted(now time.Time) []AcceptedOrder {
+	var list []AcceptedOrder
+	for _, s := range p.segments() {
+		if o := p.orders[s]; o != nil && p.pending(now, o) {
+			order := Order{Service: p.service, Zone: s.zone, Reclaimable: s.reclaimable, Count: o.count}
+			list = append(list, AcceptedOrder{order, o.acceptedAt})
+		}
+	}
+	return list
+}
+
+// NoteAccepted notes an order that another holder of the lease has sent, unless a later one is
+// known. Without it a successor would take upstreams that are starting for missing, and an order
+// of fewer would stop them.
+func (p *Planner) NoteAccepted(a AcceptedOrder) {
+	s := segment{zone: a.Zone, reclaimable: a.Reclaimable}
+	o := p.orders[s]
+	if o == nil {
+		o = &orderState{}
+		p.orders[s] = o
+	}
+	if a.At.After(o.acceptedAt) {
+		o.count, o.acceptedAt, o.valid = a.Count, a.At, true
+	}
+}
+
+// pending reports whether an accepted order's upstreams may still be starting.
+func (p *Planner) pending(now time.Time, o *orderState) bool {
+	return o.valid && now.Sub(o.acceptedAt) <= p.scaling.StartTime+startMargin
+}
+
 // order returns the order for a segment, if its expected number of upstreams
 // differs from the wanted one and no back-off applies.
 func (p *Planner) order(now time.Time, s segment, wanted, ready int) (Order, bool) {
--- a/internal/core/gateway/fleet.go
+++ b/internal/core/gateway/fleet.go
@@ -5,6 +5,7 @@
 
 	"monsoonlanding/internal/core/average"
 	"monsoonlanding/internal/core/fleet"
+	"monsoonlanding/internal/core/peer"
 	"monsoonlanding/internal/core/placement"
 	"monsoonlanding/internal/core/route"
 )
@@ -15,6 +16,9 @@
 	// rolloutCooldown is the duration after a verdict in which upstreams of the
 	// other version may still exist.
 	rolloutCooldown = 10 * time.Second
+	// orderReportDivisor divides the status interval to give the delay after which an accepted
+	// order is reported to the peers.
+	orderReportDivisor = 4
 	// fleetStartDelay is the time for which a new process observes the load
 	// before it orders upstreams. At first it knows neither the load nor its
 	// peers.
@@ -139,14 +143,46 @@
 
 func (g *Gateway) fleetOrdered(e FleetOrdered) {
 	g.count(CountDuty, "fleet_"+string(e.Outcome))
-	if e.Outcome == fleet.Unknown {
+	switch e.Outcome {
+	case fleet.Accepted:
+		g.scheduleBroadcast(g.interval() / orderReportDivisor)
+	case fleet.Unknown:
 		g.callFailedAt = g.now
+	case fleet.Refused:
 	}
 	if p := g.planners[e.Order.Service]; p != nil {
 		p.RecordOutcome(g.now, e.Order, e.Outcome)
 	}
 }
 
+// acceptedOrders returns the orders of this node whose upstreams may still be starting, for its
+// peers: one of them may be the next to order.
+func (g *Gateway) acceptedOrders() []peer.FleetOrder {
+	var list []peer.FleetOrder
+	for _, s := range g.table.Services() {
+		p := g.planners[s.Name]
+		if p == nil {
+			continue
+		}
+		for _, o := range p.Accepted(g.now) {
+			list = append(list, peer.FleetOrder{Service: o.Service, Zone: o.Zone, Reclaimable: o.Reclaimable, Count: o.Count, Age: g.now.Sub(o.At)})
+		}
+	}
+	return list
+}
+
+// noteOrders notes the orders that the lease holder reports.
+func (g *Gateway) noteOrders(orders []peer.FleetOrder) {
+	for _, o := range orders {
+		s, ok := g.table.Service(o.Service)
+		if !ok || s.Scaling == nil {
+			continue
+		}
+		order := fleet.Order{Service: o.Service, Zone: o.Zone, Reclaimable: o.Reclaimable, Count: o.Count}
+		g.planner(*s).NoteAccepted(fleet.AcceptedOrder{Order: order, At: g.now.Add(-o.Age)})
+	}
+}
+
 // cachedFraction is the fraction of the shared prompt tokens that engines
 // usually have cached.
 const cachedFraction = 0.7
--- a/internal/core/gateway/status.go
+++ b/internal/core/gateway/status.go
@@ -54,6 +54,9 @@
 		s.LeaseRevision = g.ownRevision(g.lease.Revision())
 	}
 	s.ResignedToken = g.lease.Resigned()
+	if s.LeaseToken > 0 || s.ResignedToken == g.lease.FencingToken() {
+		s.Orders = g.acceptedOrders()
+	}
 	for id, p := range g.upstreams.OwnLoads() {
 		s.Load = append(s.Load, peer.UpstreamLoad{Upstream: id, Running: p.Running, Prefill: p.Prefill, Memory: p.Memory})
 	}
@@ -162,6 +165,7 @@
 	g.judge()
 	g.usage.peerReported(s)
 	g.noteLease(s)
+	g.noteOrders(s.Orders)
 	if s.Report != nil {
 		g.lease.NoteReport(leader.Report{Window: s.Report.Window, Counts: s.Report.Counts, Accepted: s.Report.Accepted})
 	}
--- a/internal/core/peer/status.go
+++ b/internal/core/peer/status.go
@@ -39,6 +39,8 @@
 	LeaseRevision int64 `cbor:"41,keyasint,omitempty"`
 	// ResignedToken is the latest fencing token that the node has resigned, 0 if none.
 	ResignedToken int64 `cbor:"40,keyasint,omitempty"`
+	// Orders holds the upstreams that the lease holder has ordered and that may still be starting.
+	Orders []FleetOrder `cbor:"42,keyasint,omitempty"`
 	// KnownNodes lists a few nodes that the sender has received messages from
 	// recently.
 	KnownNodes []KnownNode `cbor:"13,keyasint"`
@@ -239,3 +241,12 @@
 func (ConfigPart) peerMessage()     {}
 func (ConfigBusy) peerMessage()     {}
 func (ConfigUpdate) peerMessage()   {}
+
+// FleetOrder is an order of upstreams that the platform has accepted.
+type FleetOrder struct {
+	Service     string        `cbor:"1,keyasint"`
+	Zone        string        `cbor:"2,keyasint"`
+	Reclaimable bool          `cbor:"3,keyasint,omitempty"`
+	Count       int           `cbor:"4,keyasint"`
+	Age         time.Duration `cbor:"5,keyasint"`
+}
