--- a/internal/core/gateway/fleet.go
+++ b/internal/core/gateway/fleet.go
@@ -5,7 +5,9 @@
 
 	"monsoonlanding/internal/core/average"
 	"monsoonlanding/internal/core/fleet"
+	"monsoonlanding/internal/core/peer"
 	"monsoonlanding/internal/core/placement"
+	"monsoonlanding/internal/core/route"
 )
 
 const (
@@ -14,6 +16,9 @@
 	// rolloutCooldown is the duration after a verdict in which upstreams of the
 	// other version may still exist.
 	rolloutCooldown = 10 * time.Second
+	// orderReportDivisor divides the status interval to give the delay after which an accepted
+	// order is reported to the peers.
+	orderReportDivisor = 4
 	// fleetStartDelay is the time for which a new process observes the load
 	// before it orders upstreams. At first it knows neither the load nor its
 	// peers.
@@ -62,21 +67,55 @@
 		return
 	}
 	for _, s := range g.table.Services() {
-		if s.Scaling == nil {
-			continue
+		if s.Scaling != nil {
+			g.orderUpstreams(g.planner(s), s.Name)
 		}
-		p := g.planners[s.Name]
-		if p == nil {
-			p = fleet.New(s.Name, *s.Scaling)
-			g.planners[s.Name] = p
+	}
+}
+
+// fleetObserveInterval is the interval at which nodes without the lease observe the fleets.
+const fleetObserveInterval = time.Second
+
+// observeFleet observes demand and reclaims on a node that doesn't hold the lease, so that it
+// knows them if it takes over in the middle of a wave of reclaims.
+func (g *Gateway) observeFleet() {
+	if !g.cfg.Bounds.OrdersFleet || !g.upstreamsRead || g.now.Sub(g.fleetObservedAt) < fleetObserveInterval {
+		return
+	}
+	g.fleetObservedAt = g.now
+	for _, s := range g.table.Services() {
+		if s.Scaling != nil {
+			g.planner(s).Observe(g.now, g.fleetView(s.Name))
+		}
+	}
+}
+
+func (g *Gateway) planner(s route.Service) *fleet.Planner {
+	p := g.planners[s.Name]
+	if p == nil {
+		p = fleet.New(s.Name, *s.Scaling)
+		g.planners[s.Name] = p
+	}
+	p.SetScaling(*s.Scaling)
+	return p
+}
+
+// fleetOrderOpen reports whether an order of upstreams has not been answered.
+func (g *Gateway) fleetOrderOpen() bool {
+	for _, p := range g.planners {
+		if p.OrderOpen() {
+			return true
 		}
-		p.SetScaling(*s.Scaling)
-		g.orderUpstreams(p, s.Name)
 	}
+	return false
+}
+
+func (g *Gateway) fleetView(service string) fleet.View {
+	return fleet.View{Upstreams: g.upstreams.All(), BusyEngines: g.totalWork(service), KeepAll: g.rollingOut(service)}
 }
 
 func (g *Gateway) orderUpstreams(p *fleet.Planner, service string) {
-	view := fleet.View{Upstreams: g.upstreams.All(), BusyEngines: g.totalWork(service), KeepAll: g.rollingOut(service)}
+	view := g.fleetView(service)
 	if !p.HasOrder(g.now, view) {
 		return
 	}
@@ -104,11 +143,46 @@
 
 func (g *Gateway) fleetOrdered(e FleetOrdered) {
 	g.count(CountDuty, "fleet_"+string(e.Outcome))
+	switch e.Outcome {
+	case fleet.Accepted:
+		g.scheduleBroadcast(g.interval() / orderReportDivisor)
+	case fleet.Unknown:
+		g.callFailedAt = g.now
+	case fleet.Refused:
+	}
 	if p := g.planners[e.Order.Service]; p != nil {
 		p.RecordOutcome(g.now, e.Order, e.Outcome)
 	}
 }
 
+// acceptedOrders returns the orders of this node whose upstreams may still be starting, for its
+// peers: one of them may be the next to order.
+func (g *Gateway) acceptedOrders() []peer.FleetOrder {
+	var list []peer.FleetOrder
+	for _, s := range g.table.Services() {
+		p := g.planners[s.Name]
+		if p == nil {
+			continue
+		}
+		for _, o := range p.Accepted(g.now) {
+			list = append(list, peer.FleetOrder{Service: o.Service, Zone: o.Zone, Reclaimable: o.Reclaimable, Count: o.Count, Age: g.now.Sub(o.At)})
+		}
+	}
+	return list
+}
+
+// noteOrders notes the orders that the lease holder reports.
+func (g *Gateway) noteOrders(orders []peer.FleetOrder) {
+	for _, o := range orders {
+		s, ok := g.table.Service(o.Service)
+		if !ok || s.Scaling == nil {
+			continue
+		}
+		order := fleet.Order{Service: o.Service, Zone: o.Zone, Reclaimable: o.Reclaimable, Count: o.Count}
+		g.planner(*s).NoteAccepted(fleet.AcceptedOrder{Order: order, At: g.now.Add(-o.Age)})
+	}
+}
+
 // cachedFraction is the fraction of the shared prompt tokens that engines
 // usually have cached.
 const cachedFraction = 0.7
