gateway, platform: a load of four figures is read, at the head of an answer

A replica whose load has a fourth figure, how long work takes on its machine now, lost the whole load without a trace: the decoder asked for exactly three. It took negative counts, and the load of another replica with a 421. The load was recorded when an attempt had ended, for a stream seconds after its head, as if it were fresh.

The load is part of the signals of a head now, so that every reader of them has it: the head of an answer, refusals, errors, the answer to a move, answers that their caller doesn't wait for. It carries when the head arrived; an earlier one doesn't replace a later one. Counts out of bounds drop the load, an odd fourth figure only itself; further figures are ignored. Each is counted in gateway_load_reports, and logged once for each process of an upstream.

placement.Report and Set.RecordReport hold the latest report; what placement does with it is unchanged.

--- a/internal/core/gateway/attempt.go
+++ b/internal/core/gateway/attempt.go
@@ -66,9 +66,6 @@
 		g.recordAnswer(r, e.Signals)
 	}
 	g.upstreams.RecordEnd(g.now, r.upstream.ID, r.conn, g.placementOutcome(e.Result))
-	if e.Load != nil {
-		g.upstreams.RecordReport(g.now, r.upstream.ID, e.Load.Running+e.Load.Waiting)
-	}
 	g.count(CountResult, string(e.Result))
 	if e.Framing != "" {
 		g.count(CountAnswer, string(e.Framing))
--- a/internal/core/gateway/effect.go
+++ b/internal/core/gateway/effect.go
@@ -185,6 +185,8 @@
 	CountAnswer Counter = "gateway_answers"
 	// CountExtra counts copies of earlier answers that came where another one was expected.
 	CountExtra Counter = "gateway_extra_answers"
+	// CountLoad counts the loads that upstreams report.
+	CountLoad Counter = "gateway_load_reports"
 )
 
 // ExtraSkipped is the only label of CountExtra.
--- a/internal/core/gateway/event.go
+++ b/internal/core/gateway/event.go
@@ -75,8 +75,6 @@
 	AnswerSent bool
 	// CallerFraming is the framing of the answer that has reached the caller.
 	CallerFraming Framing
-	// Load is the load that the upstream reported, nil if it reported none.
-	Load *Load
 	// Signals is what the upstream says of itself in its answer.
 	Signals Signals
 	// Connect is what became of the attempt's connection.
--- a/internal/core/gateway/result.go
+++ b/internal/core/gateway/result.go
@@ -41,9 +41,14 @@
 // Framings lists all framings, so that each has a counter from the start.
 func Framings() []Framing { return []Framing{FramingLength, FramingChunks, FramingClose} }
 
-// Load is an upstream's own count of its running and waiting requests, with its
-// number of slots.
-type Load struct{ Running, Waiting, Slots int }
+// Load is what an upstream reports of its load.
+type Load struct {
+	// Running and Waiting count its requests, Slots is how many it runs at once.
+	Running, Waiting, Slots int
+	// Slowdown is how long work takes there now, as a multiple of the usual time, 0 if it does
+	// not say.
+	Slowdown float64
+}
 
 // Result is how an attempt ended.
 type Result string
--- a/internal/core/gateway/signals.go
+++ b/internal/core/gateway/signals.go
@@ -8,6 +8,12 @@
 
 // Signals is what an upstream says of itself in the head of an answer.
 type Signals struct {
+	// ReceivedAt is when the head arrived, zero if it came with the event that carries it.
+	ReceivedAt time.Time
+	// Load is the load that it reports, nil if it reports none. LoadError tells what of its
+	// report can't be read.
+	Load      *Load
+	LoadError error
 	// RateLimit is the limit that it names.
 	RateLimit placement.RateLimit
 	// Brittle is the number of rejections a second that it bears.
@@ -33,6 +39,7 @@
 		// Another process has taken its place, of which it says nothing.
 		return
 	}
+	g.recordLoad(u, s)
 	if g.upstreams.RecordLimit(g.now, began, u.ID, s.RateLimit) {
 		g.log("limit", "limit of upstream changed", "upstream", u.ID, "named", s.RateLimit.Named, "per_s", s.RateLimit.PerSecond)
 	}
--- a/internal/core/placement/load.go
+++ b/internal/core/placement/load.go
@@ -16,20 +16,12 @@
 	Memory int
 }
 
-// RecordReport records an upstream's own count of running and waiting requests,
-// which it sends with an answer.
-func (s *Set) RecordReport(now time.Time, id string, requests int) {
-	if m := s.members[id]; m != nil {
-		m.reported, m.reportedAt = requests, now
-	}
-}
-
 // loadAt returns the load that all nodes have reported; its request count is
 // the upstream's own if that is fresh and greater.
 func (m *member) loadAt(now time.Time) UpstreamLoad {
 	load := m.load()
 	if now.Sub(m.reportedAt) < reportMaxAge {
-		load.Running = max(load.Running, m.reported)
+		load.Running = max(load.Running, m.report.Running+m.report.Waiting)
 	}
 	return load
 }
--- a/internal/core/placement/set.go
+++ b/internal/core/placement/set.go
@@ -30,11 +30,13 @@
 	backoff time.Duration
 	// full is when the cooldown after a refusal for lack of capacity ends.
 	full time.Time
-	// reported is the upstream's own count of its requests at reportedAt.
-	reported   int
+	// report is the upstream's latest report of its load, as of reportedAt.
+	report     Report
 	reportedAt time.Time
-	limiter    limiter
-	brittle    brittle
+	// invalidReport is set once a report could not be read.
+	invalidReport bool
+	limiter       limiter
+	brittle       brittle
 	// unlisted reports whether the entry is currently missing from the list.
 	unlisted bool
 	// hash gives the upstreams an order that is the same at all nodes.
--- a/internal/core/placement/set_test.go
+++ b/internal/core/placement/set_test.go
@@ -92,7 +92,7 @@
 func TestReportedLoadCounts(t *testing.T) {
 	c := qt.New(t)
 	s := newSet("a", 2)
-	s.RecordReport(epoch, "u0", 8)
+	s.RecordReport(epoch, "u0", Report{Running: 8})
 	for range 10 {
 		u, _ := s.Pick(epoch, Query{Service: "s"})
 		c.Assert(u.ID, qt.Equals, "u1")
--- a/internal/run/gateway/attempt.go
+++ b/internal/run/gateway/attempt.go
@@ -83,7 +83,8 @@
 	}
 	head := h.runner.cfg.Protocol.ClassifyHead(h.request.ID, answer.Status(), answer.Header())
 	h.signals = head.Signals
-	ended.Result, ended.Detail, ended.Load, ended.Signals = head.Result, head.Detail, head.Load, head.Signals
+	h.signals.ReceivedAt = h.runner.cfg.Clock.Now()
+	ended.Result, ended.Detail, ended.Signals = head.Result, head.Detail, h.signals
 	ended.Framing = core.Framing(answer.Framing())
 	switch {
 	case head.Result == core.ResultErrored:
@@ -108,7 +109,7 @@
 	if err != nil {
 		answer.Reject()
 		failed := failedAttempt(err)
-		ended.Result, ended.Detail, ended.Load = failed.Result, failed.Detail, nil
+		ended.Result, ended.Detail = failed.Result, failed.Detail
 	}
 	return ended
 }
--- a/internal/run/gateway/metrics.go
+++ b/internal/run/gateway/metrics.go
@@ -13,7 +13,7 @@
 
 func newCounters() map[core.Counter]*expvar.Map {
 	maps := make(map[core.Counter]*expvar.Map)
-	for _, c := range []core.Counter{core.CountRefusal, core.CountRetry, core.CountResult, core.CountDuty, core.CountMove, core.CountAnswer, core.CountExtra} {
+	for _, c := range []core.Counter{core.CountRefusal, core.CountRetry, core.CountResult, core.CountDuty, core.CountMove, core.CountAnswer, core.CountExtra, core.CountLoad} {
 		maps[c] = expvar.NewMap(string(c))
 	}
 	for _, reason := range core.Reasons() {
@@ -29,6 +29,9 @@
 		maps[core.CountAnswer].Add(string(framing), 0)
 	}
 	maps[core.CountExtra].Add(core.ExtraSkipped, 0)
+	for _, label := range core.LoadLabels() {
+		maps[core.CountLoad].Add(label, 0)
+	}
 	return maps
 }
 
--- a/internal/run/gateway/protocol.go
+++ b/internal/run/gateway/protocol.go
@@ -52,8 +52,6 @@
 	Result core.Result
 	// Detail explains any other result in the log.
 	Detail string
-	// Load is the load that the upstream reports, nil if it reports none.
-	Load *core.Load
 	// Signals is what the upstream says of itself.
 	Signals core.Signals
 }
