placement: slow upstreams are used less, and few slots are shared without herding

While an upstream's report of how long work takes there is fresh, the expected wait, and what the request's own work takes longer, are scaled by it, relative to the fastest upstream that may take the request: when all are slow they are used as before, and an idle slow one stays usable. Prefill on a slow machine no longer lowers the estimated speed of the service.

A lower count that an upstream reports counts in proportion to its freshness; until now the greater of it and the sum of the statuses held, so that slots were free that nodes took for used.

A plain request added a whole service time to the expected wait, though slots are shared: nodes followed each small difference in an old picture. It adds its part of the slots now, and the random addition to the cost grows with the nodes that share the upstreams.

--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -106,6 +106,8 @@
 	// evacuateLater holds the draining engines whose streams could not be moved because of
 	// pauses, theirs or others'.
 	evacuateLater map[string]bool
+	// reportsSlowdown holds the services of which an upstream has reported how long work takes.
+	reportsSlowdown map[string]bool
 
 	leaves leaves
 	paths  paths
@@ -157,31 +159,32 @@
 		cfg.Cost = placement.LeastTime
 	}
 	g := &Gateway{
-		cfg:           cfg,
-		rng:           rng,
-		table:         &route.Table{},
-		missing:       make(map[string]bool),
-		departed:      make(departures),
-		relaysAt:      make(map[string]int),
-		spread:        configSpread{receivers: make(map[string]time.Time)},
-		drainingSince: make(map[string]time.Time),
-		evacuateLater: make(map[string]bool),
-		leaves:        make(leaves),
-		paths:         paths{failed: make(map[string]failedUpstream), reached: make(map[uint64]time.Time)},
-		requests:      make(map[uint64]*request),
-		queues:        make(map[string]*serviceQueue),
-		retryBudgets:  make(map[string]*retryBudget),
-		quarantine:    quarantine.New(),
-		goals:         make(goals),
-		members:       make(map[string]*member),
-		forwardTurns:  make(map[string]forwardTurn),
-		quotas:        make(map[string]*teamQuota),
-		lease:         leader.New(cfg.Node, cfg.Start, cfg.Bounds.LeaseTerm),
-		usage:         newUsage(cfg.Bounds.UsageWindow),
-		planners:      make(map[string]*fleet.Planner),
-		rollouts:      make(map[string]*rolloutState),
-		paces:         make(map[string]*routePace),
-		work:          make(map[string]*average.Rate),
+		cfg:             cfg,
+		rng:             rng,
+		table:           &route.Table{},
+		missing:         make(map[string]bool),
+		departed:        make(departures),
+		relaysAt:        make(map[string]int),
+		spread:          configSpread{receivers: make(map[string]time.Time)},
+		drainingSince:   make(map[string]time.Time),
+		evacuateLater:   make(map[string]bool),
+		reportsSlowdown: make(map[string]bool),
+		leaves:          make(leaves),
+		paths:           paths{failed: make(map[string]failedUpstream), reached: make(map[uint64]time.Time)},
+		requests:        make(map[uint64]*request),
+		queues:          make(map[string]*serviceQueue),
+		retryBudgets:    make(map[string]*retryBudget),
+		quarantine:      quarantine.New(),
+		goals:           make(goals),
+		members:         make(map[string]*member),
+		forwardTurns:    make(map[string]forwardTurn),
+		quotas:          make(map[string]*teamQuota),
+		lease:           leader.New(cfg.Node, cfg.Start, cfg.Bounds.LeaseTerm),
+		usage:           newUsage(cfg.Bounds.UsageWindow),
+		planners:        make(map[string]*fleet.Planner),
+		rollouts:        make(map[string]*rolloutState),
+		paces:           make(map[string]*routePace),
+		work:            make(map[string]*average.Rate),
 	}
 	g.upstreams = placement.New(cfg.Node, cfg.Zone, cfg.Cost, placement.Shares{Limit: g.limitShare, Slots: g.slotPart}, rng)
 	return g
--- a/internal/core/gateway/load.go
+++ b/internal/core/gateway/load.go
@@ -30,6 +30,7 @@
 	g.count(CountLoad, loadTaken)
 	if s.Load.Slowdown > 0 {
 		g.count(CountLoad, loadSlowdown)
+		g.logSlowdown(u)
 	}
 	at := s.ReceivedAt
 	if at.IsZero() || at.After(g.now) {
@@ -37,3 +38,12 @@
 	}
 	g.upstreams.RecordReport(at, u.ID, placement.Report(*s.Load))
 }
+
+// logSlowdown logs the first upstream of each service that reports how long work takes there.
+func (g *Gateway) logSlowdown(u placement.Upstream) {
+	if g.reportsSlowdown[u.Service] {
+		return
+	}
+	g.reportsSlowdown[u.Service] = true
+	g.log("load", "upstreams of service report how long work takes", "service", u.Service, "upstream", u.ID)
+}
--- a/internal/core/gateway/state.go
+++ b/internal/core/gateway/state.go
@@ -28,9 +28,13 @@
 type ServiceState struct {
 	Upstreams int `json:"upstreams"`
 	// Paused is the number of upstreams that have asked this node for a pause.
-	Paused  int `json:"paused"`
-	Waiting int `json:"waiting"`
-	Running int `json:"running"`
+	Paused int `json:"paused"`
+	// Reporting is the number of upstreams that have told this node lately how long work takes
+	// there, Slow that of those where it takes longer than usual.
+	Reporting int `json:"reporting"`
+	Slow      int `json:"slow"`
+	Waiting   int `json:"waiting"`
+	Running   int `json:"running"`
 	// Retries counts the retries in the current retry window.
 	Retries int `json:"resends"`
 }
@@ -62,6 +66,7 @@
 
 func (g *Gateway) serviceState(service string) ServiceState {
 	s := ServiceState{Upstreams: g.upstreams.Count(service), Paused: g.upstreams.CountPaused(g.now, service)}
+	s.Reporting, s.Slow = g.upstreams.CountSlow(g.now, service)
 	for _, r := range g.requests {
 		switch {
 		case r.service != service:
--- a/internal/core/placement/cache.go
+++ b/internal/core/placement/cache.go
@@ -3,9 +3,10 @@
 import "time"
 
 const (
-	// plainServiceTime is the assumed service time of a plain request; each
-	// request that is already running adds it to the wait.
+	// plainServiceTime is the assumed service time of a plain request.
 	plainServiceTime = 10 * time.Millisecond
+	// minJitter is the least bound of the random addition to a cost.
+	minJitter = time.Millisecond
 	// otherZoneCost is the network round-trip time to another zone.
 	otherZoneCost = 2 * time.Millisecond
 	// recomputeWeight multiplies the time to prefill shared prompt parts that are
--- a/internal/core/placement/cost.go
+++ b/internal/core/placement/cost.go
@@ -6,6 +6,9 @@
 type Candidate struct {
 	// Wait is the expected delay caused by requests placed there earlier.
 	Wait time.Duration
+	// Work is the usual time of the request's own work until its answer begins, Excess how much
+	// longer that takes there now than at the fastest upstream.
+	Work, Excess time.Duration
 	// Recompute is the time to prefill the shared prompt parts that are not in
 	// this upstream's cache.
 	Recompute time.Duration
@@ -22,6 +25,12 @@
 	Unlisted bool
 }
 
+// slowDown lets work at the candidate take a multiple of its usual time.
+func (c *Candidate) slowDown(factor float64) {
+	c.Wait = scale(c.Wait, factor)
+	c.Excess = scale(c.Work, factor-1)
+}
+
 // Cost returns the cost of a candidate; the one with the lowest cost is chosen.
 type Cost func(Candidate) time.Duration
 
@@ -29,7 +38,7 @@
 // time at an idle one that is in the node's own zone and has the shared prompt
 // parts cached. It includes the delay that the request causes to others there.
 func LeastTime(c Candidate) time.Duration {
-	cost := c.Wait + recomputeWeight*c.Recompute
+	cost := c.Wait + c.Excess + recomputeWeight*c.Recompute
 	cost += time.Duration(c.Errors * float64(errorCost))
 	if c.OtherZone {
 		cost += otherZoneCost
--- a/internal/core/placement/load.go
+++ b/internal/core/placement/load.go
@@ -2,10 +2,6 @@
 
 import "time"
 
-// reportMaxAge is the maximum age of an upstream's own request count. Most
-// requests last longer, so the count changes little within it.
-const reportMaxAge = 300 * time.Millisecond
-
 // UpstreamLoad is the load on an upstream from one node or from all.
 type UpstreamLoad struct {
 	// Running is the number of requests.
@@ -16,16 +12,6 @@
 	Memory int
 }
 
-// loadAt returns the load that all nodes have reported; its request count is
-// the upstream's own if that is fresh and greater.
-func (m *member) loadAt(now time.Time) UpstreamLoad {
-	load := m.load()
-	if now.Sub(m.reportedAt) < reportMaxAge {
-		load.Running = max(load.Running, m.report.Running+m.report.Waiting)
-	}
-	return load
-}
-
 // load returns the sum of the load that all nodes have placed at the upstream.
 func (m *member) load() UpstreamLoad {
 	return m.ownLoad().plus(m.peerLoad)
@@ -69,10 +55,11 @@
 	return p
 }
 
-// wait returns the expected delay of a request behind the load.
-func (load UpstreamLoad) wait(q Query, speed Speed) time.Duration {
+// wait returns the expected delay of a request behind the load at an upstream with a number of
+// slots.
+func (load UpstreamLoad) wait(q Query, slots int, speed Speed) time.Duration {
 	if q.Slots == 0 {
-		return time.Duration(load.Running) * plainServiceTime
+		return plainWait(load.Running, slots)
 	}
 	return speed.PrefillTime(load.Prefill) + time.Duration(load.Running)*speed.SlotCost
 }
@@ -108,7 +95,8 @@
 		return
 	}
 	r.Prefill = 0
-	s.estimator(m.Service).observe(r.prefillTokens, r.batchSize, now.Sub(r.placedAt))
+	elapsed := scale(now.Sub(r.placedAt), 1/m.slowdown(now))
+	s.estimator(m.Service).observe(r.prefillTokens, r.batchSize, elapsed)
 }
 
 // RecordCacheMove records that the request continues from a KV cache that was copied
--- a/internal/core/placement/pick.go
+++ b/internal/core/placement/pick.go
@@ -46,6 +46,7 @@
 	preferred := s.preferred(q)
 	reserved := s.reservedBelow(q)
 	speed := s.Speed(q.Service)
+	least := s.leastSlowdown(now, q, ejected)
 	for _, m := range s.sorted {
 		if !m.eligible(now, q, ejected) || !s.mayReceive(now, m) {
 			continue
@@ -55,6 +56,7 @@
 			continue
 		}
 		candidate := s.candidate(now, m, load, q, preferred, speed)
+		candidate.slowDown(m.slowdown(now) / least)
 		limit := q.MaxWait
 		if m.hash < reserved {
 			limit = min(limit, q.UrgentWait)
@@ -62,9 +64,7 @@
 		if limit > 0 && candidate.Wait > limit {
 			continue
 		}
-		// Jitter of up to 1 ms keeps the nodes from all choosing the same one of
-		// equal upstreams.
-		cost := s.cost(candidate) + time.Duration(s.rng.Int64N(int64(time.Millisecond)))
+		cost := s.cost(candidate) + s.jitter(q)
 		if best == nil || cost < lowest {
 			best, lowest = m, cost
 		}
@@ -135,7 +135,7 @@
 // candidate returns the inputs of the cost function for an upstream.
 func (s *Set) candidate(now time.Time, m *member, load UpstreamLoad, q Query, preferred string, speed Speed) Candidate {
 	c := Candidate{
-		Wait:        load.wait(q, speed),
+		Wait:        load.wait(q, m.slots(q), speed),
 		Running:     load.Running,
 		TotalPlaced: m.placed,
 		Errors:      m.errors,
@@ -143,6 +143,7 @@
 		Unlisted:    m.unlisted,
 	}
 	if q.Slots == 0 {
+		c.Work = plainServiceTime
 		return c
 	}
 	shared := q.Prompt.SharedTokens()
@@ -153,6 +154,7 @@
 		cachedTokens = shared
 	}
 	c.Recompute = speed.PrefillTime(shared - cachedTokens)
+	c.Work = speed.PrefillTime(q.Prompt.InputTokens - cachedTokens)
 	return c
 }
 
--- a/internal/tool/emulator/caller.go
+++ b/internal/tool/emulator/caller.go
@@ -159,7 +159,7 @@
 		s.after(2*messageLatency, func() { s.attemptEnded(d.Conn, c, ended) })
 		return
 	case s.isFull(u), s.rng.Float64() < s.pattern.RefusedFraction:
-		ended := gateway.Ended{Result: gateway.ResultFull, Connect: connect, Framing: gateway.FramingLength, Signals: gateway.Signals{Brittle: s.brittleness(u)}}
+		ended := gateway.Ended{Result: gateway.ResultFull, Connect: connect, Framing: gateway.FramingLength, Signals: gateway.Signals{Brittle: s.brittleness(u), Load: s.reportOf(u)}}
 		s.turnedAway(u)
 		s.after(2*messageLatency, func() { s.attemptEnded(d.Conn, c, ended) })
 		return
@@ -170,7 +170,7 @@
 	if s.rng.Float64() < s.pattern.BrokenFraction {
 		result = gateway.ResultBroken
 	}
-	begin, end, prefilled := u.accept(s.now.Add(messageLatency), c.request.Prompt)
+	begin, end, prefilled := u.accept(s.now.Add(messageLatency), c.request.Prompt, s.slowdownOf(u))
 	s.countPrefill(u, c.request.Prompt, prefilled)
 	current := func() bool { return s.pending[d.Conn] == c && c.runsOn == u && !u.crashed && !c.silenced }
 	if s.pattern.CrashingPart.crashes(s.now.Sub(startTime), c.request.Prompt) {
@@ -194,7 +194,7 @@
 		if current() {
 			c.began = true
 			s.answerBegan(c)
-			s.reduce(node, gateway.Began{Conn: d.Conn, Attempt: d.Attempt, Signals: gateway.Signals{RateLimit: s.nameLimit(node, u), Brittle: s.brittleness(u)}, Connect: connect})
+			s.reduce(node, gateway.Began{Conn: d.Conn, Attempt: d.Attempt, Signals: gateway.Signals{RateLimit: s.nameLimit(node, u), Brittle: s.brittleness(u), Load: s.reportOf(u)}, Connect: connect})
 		}
 	})
 	if paced := begin.Add(paceTime); paced.Before(end) && u.cached != nil {
@@ -241,6 +241,7 @@
 		t.Served++
 	}
 	latency := s.now.Sub(c.firstSubmitted)
+	s.report.Latencies = append(s.report.Latencies, latency)
 	for _, t := range []*Tally{s.report.Kinds[c.kind.Route], s.report.Teams[c.team], s.secondTally(c)} {
 		if latency <= c.kind.LatencyGoal {
 			t.InTime++
--- a/internal/tool/emulator/engine.go
+++ b/internal/tool/emulator/engine.go
@@ -66,11 +66,12 @@
 func (u *upstream) full() bool { return u.cached != nil && u.running >= engineSlots }
 
 // accept adds a request and returns when its answer begins and ends, and the
-// number of prompt tokens that are prefilled for it.
-func (u *upstream) accept(now time.Time, p placement.Prompt) (begin, end time.Time, prefilled int) {
+// number of prompt tokens that are prefilled for it. slowdown is how long work
+// takes, as a multiple of the usual time.
+func (u *upstream) accept(now time.Time, p placement.Prompt, slowdown float64) (begin, end time.Time, prefilled int) {
 	u.running++
 	if u.cached == nil {
-		return u.acceptPlain(now)
+		return u.acceptPlain(now, slowdown)
 	}
 	prefilled = p.InputTokens
 	cached := true
@@ -81,28 +82,33 @@
 		}
 		u.cached[part.ID] = now
 	}
-	prefillTime := time.Duration(float64(prefilled) / u.prefillRate * float64(time.Second))
+	prefillTime := time.Duration(slowdown * float64(prefilled) / u.prefillRate * float64(time.Second))
 	u.prefillEnd = later(u.prefillEnd, now).Add(prefillTime)
-	begin = u.prefillEnd.Add(firstEventDelay)
+	begin = u.prefillEnd.Add(times(firstEventDelay, slowdown))
 	// Concurrent prefill delays the generation steps; the model takes half of
 	// the duration of the prefill queue.
 	prefillDelay := u.prefillEnd.Sub(now) / 2
-	perToken := tokenTime + time.Duration(u.running)*tokenTimePerRequest
+	perToken := times(tokenTime+time.Duration(u.running)*tokenTimePerRequest, slowdown)
 	return begin, begin.Add(time.Duration(p.MaxOutputTokens)*perToken + prefillDelay), prefilled
 }
 
-func (u *upstream) acceptPlain(now time.Time) (begin, end time.Time, prefilled int) {
+func (u *upstream) acceptPlain(now time.Time, slowdown float64) (begin, end time.Time, prefilled int) {
 	earliest := 0
 	for i, at := range u.slotFreeAt {
 		if at.Before(u.slotFreeAt[earliest]) {
 			earliest = i
 		}
 	}
-	end = later(u.slotFreeAt[earliest], now).Add(plainDuration)
+	end = later(u.slotFreeAt[earliest], now).Add(times(plainDuration, slowdown))
 	u.slotFreeAt[earliest] = end
 	return end, end, 0
 }
 
+// times multiplies a duration.
+func times(d time.Duration, factor float64) time.Duration {
+	return time.Duration(factor * float64(d))
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/tool/emulator/pattern.go
+++ b/internal/tool/emulator/pattern.go
@@ -68,6 +68,8 @@
 	Limits *UpstreamLimits
 	// Pausing are upstreams that ask for pauses; nil for none.
 	Pausing *PausingUpstreams
+	// Slow are machines that are slow at times; nil for none.
+	Slow *SlowMachines
 	// RestartAt is when all nodes restart without state; zero is never.
 	RestartAt time.Duration
 }
--- a/internal/tool/emulator/report.go
+++ b/internal/tool/emulator/report.go
@@ -1,6 +1,10 @@
 package emulator
 
-import "monsoonlanding/internal/core/gateway"
+import (
+	"time"
+
+	"monsoonlanding/internal/core/gateway"
+)
 
 // Report is the outcome of a run as callers and engines observe it.
 type Report struct {
@@ -27,6 +31,8 @@
 	Cut CutReport
 	// Violations lists the guarantees that were violated.
 	Violations []string
+	// Latencies holds the latency to the first event of each answer.
+	Latencies []time.Duration
 	// Seconds counts callers by the second of their arrival.
 	Seconds []Tally
 }
