--- a/internal/core/placement/doc.go
+++ b/internal/core/placement/doc.go
@@ -16,6 +16,12 @@
 // and a part is prefilled only once. Errors raise the cost, and consecutive
 // connection failures eject an upstream until its back-off ends.
 //
+// # Reports
+//
+// An upstream may report its own counts of requests and how long work takes there now. While a
+// report is fresh, its counts correct the sum of what nodes have reported, and the slowdown scales
+// the expected time of requests there, relative to the fastest upstream.
+//
 // # Limits
 //
 // An upstream may name a limit of requests a second from all nodes together. A node
--- a/internal/core/placement/load.go
+++ b/internal/core/placement/load.go
@@ -55,11 +55,11 @@
 	return p
 }
 
-// wait returns the expected delay of a request behind the load at an upstream with a number of
-// slots.
-func (load UpstreamLoad) wait(q Query, slots int, speed Speed) time.Duration {
+// wait returns the expected delay of a request behind the load.
+func (m *member) wait(load UpstreamLoad, q Query, speed Speed) time.Duration {
 	if q.Slots == 0 {
-		return plainWait(load.Running, slots)
+		own := min(len(m.running), load.Running)
+		return plainWait(own, load.Running-own, m.Slots)
 	}
 	return speed.PrefillTime(load.Prefill) + time.Duration(load.Running)*speed.SlotCost
 }
--- a/internal/core/placement/pick.go
+++ b/internal/core/placement/pick.go
@@ -64,7 +64,7 @@
 		if limit > 0 && candidate.Wait > limit {
 			continue
 		}
-		cost := s.cost(candidate) + s.jitter(q)
+		cost := s.cost(candidate) + s.jitter(q, m.slots(q))
 		if best == nil || cost < lowest {
 			best, lowest = m, cost
 		}
@@ -121,8 +121,7 @@
 // addition to its load.
 func (m *member) hasCapacity(load UpstreamLoad, q Query) bool {
 	if q.Slots == 0 {
-		// As many requests as run at a plain upstream may wait there.
-		return m.Slots == 0 || load.Running < 2*m.Slots
+		return m.Slots == 0 || load.Running < plainCapacity(m.Slots)
 	}
 	required := q.Prompt.InputTokens + q.Prompt.MaxOutputTokens
 	if load.Running >= q.Slots {
@@ -135,7 +134,7 @@
 // candidate returns the inputs of the cost function for an upstream.
 func (s *Set) candidate(now time.Time, m *member, load UpstreamLoad, q Query, preferred string, speed Speed) Candidate {
 	c := Candidate{
-		Wait:        load.wait(q, m.slots(q), speed),
+		Wait:        m.wait(load, q, speed),
 		Running:     load.Running,
 		TotalPlaced: m.placed,
 		Errors:      m.errors,
--- a/internal/tool/emulator/doc.go
+++ b/internal/tool/emulator/doc.go
@@ -19,7 +19,7 @@
 //
 // A [Pattern] sets the arrival rate of each kind of request, the distribution
 // of requests over teams, prompts and nodes, and the faults of nodes, engines
-// and the network.
+// and the network. [SlowMachines] are slow for short times, and may report it.
 //
 // # Usage
 //
