--- a/internal/core/gateway/load_test.go
+++ b/internal/core/gateway/load_test.go
@@ -132,3 +132,26 @@
 	report, _ := b.g.upstreams.LatestReport("d1")
 	b.Assert(report, qt.Equals, placement.Report{})
 }
+
+// TestSlowUpstreamsAreCounted: operators see which upstreams report how long work takes, while the
+// reports last, and one line for each service.
+func TestSlowUpstreamsAreCounted(t *testing.T) {
+	b := newBench(t, "a")
+	b.ready(up("d1", "desk"), up("d2", "desk"), up("m1", "model"))
+	lines := 0
+	for id, slowdown := range map[string]float64{"d1": 2.5, "d2": 1, "m1": 0} {
+		u, _ := b.g.upstreams.Get(id)
+		for _, e := range b.reduce(AnswerDropped{Upstream: u, StartedAt: b.now, Signals: Signals{Load: &Load{Slots: 6, Slowdown: slowdown}}}) {
+			if l, ok := e.(Log); ok && l.Step == "load" {
+				lines++
+			}
+		}
+	}
+	b.Assert(lines, qt.Equals, 1)
+	desk := b.g.State().Services["desk"]
+	b.Assert([]int{desk.Reporting, desk.Slow}, qt.DeepEquals, []int{2, 1})
+	b.Assert(b.g.State().Services["model"].Reporting, qt.Equals, 0)
+	b.wait(time.Second)
+	desk = b.g.State().Services["desk"]
+	b.Assert([]int{desk.Reporting, desk.Slow}, qt.DeepEquals, []int{0, 0})
+}
