--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -321,6 +321,8 @@
 const pruneInterval = 5 * time.Second
 
 func (g *Gateway) tick() {
+	// A status is half an interval old on average.
+	g.upstreams.SetNewsAge(g.interval()/2 + TickInterval)
 	g.relistAfterReturn()
 	g.removeMissing()
 	g.judge()
--- a/internal/core/placement/health.go
+++ b/internal/core/placement/health.go
@@ -27,6 +27,9 @@
 	if m == nil || m.running[request] == nil {
 		return
 	}
+	if r := m.running[request]; outcome == Succeeded && r.Memory > 0 {
+		s.arrivalsOf(m.Service).held.Observe(now.Sub(r.placedAt))
+	}
 	delete(m.running, request)
 	m.recordOutcome(now, outcome)
 }
--- a/internal/core/placement/load.go
+++ b/internal/core/placement/load.go
@@ -75,6 +75,9 @@
 	s.spend(now, m, 1)
 	load := m.load()
 	uncached := max(p.InputTokens-m.cached(now, p), 0)
+	if p.InputTokens > 0 {
+		s.recordArrival(now, m.Service, uncached)
+	}
 	m.running[request] = &activeRequest{
 		Work:          Work{Prefill: uncached, Memory: p.InputTokens + p.ExpectedOutput()},
 		placedAt:      now,
--- a/internal/core/placement/pick.go
+++ b/internal/core/placement/pick.go
@@ -47,12 +47,13 @@
 	reserved := s.reservedBelow(q)
 	speed := s.Speed(q.Service)
 	least := s.leastSlowdown(now, q, ejected)
+	jitter := s.maxJitter(now, q)
 	for _, m := range s.sorted {
 		if !m.eligible(now, q, ejected) || !s.mayReceive(now, m) {
 			continue
 		}
 		load := m.loadAt(now)
-		if !m.hasCapacity(load, q) || !s.hasRoom(now, m, m.slots(q)) {
+		if !s.hasCapacity(m, load, q) || !s.hasRoom(now, m, m.slots(q)) {
 			continue
 		}
 		candidate := s.candidate(now, m, load, q, preferred, speed)
@@ -64,7 +65,7 @@
 		if limit > 0 && candidate.Wait > limit {
 			continue
 		}
-		cost := s.cost(candidate) + s.jitter(q, m.slots(q))
+		cost := s.cost(candidate) + s.jitter(q, m.slots(q), jitter)
 		if best == nil || cost < lowest {
 			best, lowest = m, cost
 		}
@@ -119,12 +120,12 @@
 
 // hasCapacity reports whether the upstream has capacity for the request in
 // addition to its load.
-func (m *member) hasCapacity(load UpstreamLoad, q Query) bool {
+func (s *Set) hasCapacity(m *member, load UpstreamLoad, q Query) bool {
 	if q.Slots == 0 {
 		return m.Slots == 0 || load.Running < plainCapacity(m.Slots)
 	}
 	required := q.Prompt.InputTokens + q.Prompt.MaxOutputTokens
-	if load.Running >= q.Slots {
+	if load.Running >= s.engineCapacity(q.Service, q.Slots) {
 		return false
 	}
 	// An idle engine accepts a request of any size.
@@ -134,7 +135,7 @@
 // candidate returns the inputs of the cost function for an upstream.
 func (s *Set) candidate(now time.Time, m *member, load UpstreamLoad, q Query, preferred string, speed Speed) Candidate {
 	c := Candidate{
-		Wait:        m.wait(load, q, speed),
+		Wait:        m.wait(load, q, speed) + s.slotWait(q.Service, load.Running, q.Slots),
 		Running:     load.Running,
 		TotalPlaced: m.placed,
 		Errors:      m.errors,
--- a/internal/core/placement/plain.go
+++ b/internal/core/placement/plain.go
@@ -10,12 +10,21 @@
 	return wait + time.Duration(others)*plainServiceTime/time.Duration(max(slots, 1))
 }
 
-// jitter returns a random addition to the cost of an upstream with a number of slots. It keeps the
-// nodes from all choosing the same one of equal upstreams. Plain requests end long before their
-// node has told its peers of them: nodes that share fewer slots than they are would all follow a
-// small difference in an old picture. The more they are, the more of the range of waits is random.
-func (s *Set) jitter(q Query, slots int) time.Duration {
-	limit := minJitter
+// maxJitter returns the bound of the random addition to the costs of engines: what this node can't
+// know of their waits.
+func (s *Set) maxJitter(now time.Time, q Query) time.Duration {
+	if q.Slots == 0 {
+		return minJitter
+	}
+	return max(minJitter, 2*s.uncertainty(now, q.Service, q.Slots))
+}
+
+// jitter returns a random addition to the cost of an upstream with a number of slots, up to limit or,
+// at a plain one, more. It keeps the nodes from all choosing the same one of equal upstreams. Plain
+// requests end long before their node has told its peers of them: nodes that share fewer slots than
+// they are would all follow a small difference in an old picture. The more they are, the more of the
+// range of waits is random.
+func (s *Set) jitter(q Query, slots int, limit time.Duration) time.Duration {
 	if nodes := len(s.usedByPeers) + 1; q.Slots == 0 && slots > 0 && slots < nodes {
 		longest := plainWait(0, plainCapacity(slots), slots)
 		limit = max(limit, scale(longest, 1-float64(slots)/float64(nodes)))
--- a/internal/core/placement/set.go
+++ b/internal/core/placement/set.go
@@ -66,6 +66,10 @@
 	pauses map[process]*pause
 	// estimators holds the speed estimator of each service's engines.
 	estimators map[string]*speedEstimator
+	// arrivals describes the requests that this node sends to each service's engines.
+	arrivals map[string]*arrivals
+	// newsAge is the mean age of what is known of the peers' load.
+	newsAge time.Duration
 }
 
 // activeRequest is a request that this node has running at an upstream.
@@ -85,6 +89,7 @@
 		self: self, zone: zone, cost: cost, shares: shares, rng: rng,
 		members: make(map[string]*member), usedByPeers: make(map[string][]*member), estimators: make(map[string]*speedEstimator),
 		brittleServices: make(map[string]RateLimit), pauses: make(map[process]*pause),
+		arrivals: make(map[string]*arrivals),
 	}
 }
 
