--- a/internal/core/gateway/fleet.go
+++ b/internal/core/gateway/fleet.go
@@ -11,8 +11,13 @@
 )
 
 const (
-	// workDecay is the time constant of the moving average of engine work.
-	workDecay = 5 * time.Second
+	// workDecay is the time constant of the moving average of engine work,
+	// recentWorkDecay that of the one that shows a surge.
+	workDecay       = 5 * time.Second
+	recentWorkDecay = time.Second
+	// surgeRatio is the ratio of recent work to its average from which on it
+	// counts as a surge and not as chance.
+	surgeRatio = 1.3
 	// rolloutCooldown is the duration after a verdict in which upstreams of the
 	// other version may still exist.
 	rolloutCooldown = 10 * time.Second
@@ -34,18 +39,24 @@
 	}
 	w := g.work[r.service]
 	if w == nil {
-		w = &average.Rate{Decay: workDecay}
+		w = &serviceWork{average: average.Rate{Decay: workDecay}, recent: average.Rate{Decay: recentWorkDecay}}
 		g.work[r.service] = w
 	}
-	w.Add(g.now, engineWork(r.req.Prompt, g.upstreams.Speed(r.service)).Seconds())
+	units := engineWork(r.req.Prompt, g.upstreams.Speed(r.service)).Seconds()
+	w.average.Add(g.now, units)
+	w.recent.Add(g.now, units)
 }
 
+// serviceWork averages the engine time of this node's requests to a service.
+type serviceWork struct{ average, recent average.Rate }
+
 // totalWork adds up the work of all nodes for a service, as a number of
-// engines.
+// engines. Upstreams take seconds to start, so a surge counts before the average
+// shows it.
 func (g *Gateway) totalWork(service string) float64 {
-	sum := 0.0
+	var sum, recent float64
 	if w := g.work[service]; w != nil {
-		sum = w.PerSecond(g.now)
+		sum, recent = w.average.PerSecond(g.now), w.recent.PerSecond(g.now)
 	}
 	for _, m := range g.members {
 		if !g.inContact(m) {
@@ -54,9 +65,13 @@
 		for _, w := range m.status.EngineLoad {
 			if w.Service == service {
 				sum += w.Engines
+				recent += w.Recent
 			}
 		}
 	}
+	if recent > surgeRatio*sum {
+		return recent
+	}
 	return sum
 }
 
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -147,7 +147,7 @@
 	// paces holds the usual times of answers, by route.
 	paces map[string]*routePace
 	// work averages the engine time of this node's requests, by service.
-	work map[string]*average.Rate
+	work map[string]*serviceWork
 
 	started time.Time
 	// statusSeq is the sequence number of the latest status.
@@ -193,7 +193,7 @@
 		planners:        make(map[string]*fleet.Planner),
 		rollouts:        make(map[string]*rolloutState),
 		paces:           make(map[string]*routePace),
-		work:            make(map[string]*average.Rate),
+		work:            make(map[string]*serviceWork),
 	}
 	g.upstreams = placement.New(cfg.Node, cfg.Zone, cfg.Cost, placement.Shares{Limit: g.limitShare, Slots: g.slotPart}, rng)
 	return g
--- a/internal/core/gateway/status.go
+++ b/internal/core/gateway/status.go
@@ -66,7 +66,7 @@
 		s.QuotaSpent = append(s.QuotaSpent, peer.TeamQuotaSpent{Team: name, Units: q.spent, Asked: q.asked})
 	}
 	for name, w := range g.work {
-		s.EngineLoad = append(s.EngineLoad, peer.ServiceEngineLoad{Service: name, Engines: w.PerSecond(g.now)})
+		s.EngineLoad = append(s.EngineLoad, peer.ServiceEngineLoad{Service: name, Engines: w.average.PerSecond(g.now), Recent: w.recent.PerSecond(g.now)})
 	}
 	last := g.usage.counter.Window(clusterTime)
 	for w, counts := range g.usage.counter.Latest(clusterTime) {
--- a/internal/core/peer/status.go
+++ b/internal/core/peer/status.go
@@ -148,6 +148,8 @@
 type ServiceEngineLoad struct {
 	Service string  `cbor:"1,keyasint"`
 	Engines float64 `cbor:"2,keyasint"`
+	// Recent is the same over a shorter period, 0 from older builds.
+	Recent float64 `cbor:"3,keyasint,omitempty"`
 }
 
 // UpstreamLoad is the load that a node's requests put on one upstream.
