--- /dev/null
+++ b/internal/core/gateway/fleet_test.go
@@ -0,0 +1,41 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"monsoonlanding/internal/core/placement"
+)
+
+// submitPrompts submits prompts at a rate for a time, with ticks.
+func (b *bench) submitPrompts(perSecond int, d time.Duration) {
+	every := time.Second / time.Duration(perSecond)
+	for end := b.now.Add(d); b.now.Before(end); {
+		b.now = b.now.Add(every)
+		b.submit(Request{Path: "/plan/1", Key: "k", Prompt: placement.Prompt{InputTokens: 100, MaxOutputTokens: 20}})
+		b.reduce(Tick{})
+	}
+}
+
+// TestSurgeCountsForTheFleet: the demand trebles within a moment, and an upstream takes seconds to
+// start. A mean over several seconds shows the surge when it is half over.
+func TestSurgeCountsForTheFleet(t *testing.T) {
+	b := newBench(t, "a")
+	b.ready(up("m1", "model"))
+	b.submitPrompts(20, 20*time.Second)
+	before := b.g.totalWork("model")
+	b.submitPrompts(60, time.Second)
+	b.Assert(b.g.totalWork("model") > 1.8*before, qt.IsTrue, qt.Commentf("%v after %v", b.g.totalWork("model"), before))
+}
+
+// TestChanceIsNoSurge: irregular arrivals around a steady demand order nothing.
+func TestChanceIsNoSurge(t *testing.T) {
+	b := newBench(t, "a")
+	b.ready(up("m1", "model"))
+	b.submitPrompts(20, 20*time.Second)
+	before := b.g.totalWork("model")
+	b.submitPrompts(24, time.Second)
+	b.Assert(b.g.totalWork("model") < 1.1*before, qt.IsTrue, qt.Commentf("%v after %v", b.g.totalWork("model"), before))
+}
