--- a/internal/core/placement/contention.go
+++ b/internal/core/placement/contention.go
@@ -44,6 +44,10 @@
 // SetNewsAge sets the mean age of what this node knows of its peers' load.
 func (s *Set) SetNewsAge(age time.Duration) { s.newsAge = age }
 
+// contended reports whether there are more nodes than slots at an engine. With fewer nodes each
+// places a good part of an engine's requests itself, and knows of them at once.
+func (s *Set) contended(slots int) bool { return len(s.usedByPeers)+1 > slots }
+
 // recordArrival records a request with a number of prompt tokens to prefill.
 func (s *Set) recordArrival(now time.Time, service string, prefill int) {
 	a := s.arrivalsOf(service)
@@ -56,7 +60,7 @@
 // this node knows. Peers are assumed to send as many requests as this node.
 func (s *Set) uncertainty(now time.Time, service string, slots int) time.Duration {
 	peers, engines := len(s.usedByPeers), s.Count(service)
-	if peers == 0 || engines == 0 {
+	if !s.contended(slots) || engines == 0 {
 		return 0
 	}
 	a := s.arrivalsOf(service)
@@ -86,7 +90,7 @@
 
 // engineCapacity returns the number of requests that may be at an engine with a number of slots.
 func (s *Set) engineCapacity(service string, slots int) int {
-	if s.slotTime(service, slots) == 0 || len(s.usedByPeers) == 0 {
+	if s.slotTime(service, slots) == 0 || !s.contended(slots) {
 		return slots
 	}
 	return slots + int(queueFraction*float64(slots))
