gateway: a surge exceeds chance and outlasts a dip

Cause: with few requests a second the work of the last second exceeds the mean by 30 in 100 by chance, and a dip released on-demand upstreams that were starting. Change: the ratio grows with the deviation to be expected; a surge fades as the mean follows.

--- a/internal/core/gateway/fleet.go
+++ b/internal/core/gateway/fleet.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"time"
 
 	"monsoonlanding/internal/core/average"
@@ -15,9 +16,14 @@
 	// recentWorkDecay that of the one that shows a surge.
 	workDecay       = 5 * time.Second
 	recentWorkDecay = time.Second
-	// surgeRatio is the ratio of recent work to its average from which on it
-	// counts as a surge and not as chance.
-	surgeRatio = 1.3
+	// minSurgeRatio is the least ratio of recent work to its average at which it
+	// counts as a surge.
+	minSurgeRatio = 1.3
+	// surgeDeviations is the number of standard deviations of chance that a surge
+	// exceeds, workVariance the variance of the work of single requests, relative to
+	// the square of its mean.
+	surgeDeviations = 3
+	workVariance    = 2
 	// rolloutCooldown is the duration after a verdict in which upstreams of the
 	// other version may still exist.
 	rolloutCooldown = 10 * time.Second
@@ -39,23 +45,33 @@
 	}
 	w := g.work[r.service]
 	if w == nil {
-		w = &serviceWork{average: average.Rate{Decay: workDecay}, recent: average.Rate{Decay: recentWorkDecay}}
+		w = &serviceWork{
+			average:  average.Rate{Decay: workDecay},
+			recent:   average.Rate{Decay: recentWorkDecay},
+			requests: average.Rate{Decay: workDecay},
+		}
 		g.work[r.service] = w
 	}
 	units := engineWork(r.req.Prompt, g.upstreams.Speed(r.service)).Seconds()
 	w.average.Add(g.now, units)
 	w.recent.Add(g.now, units)
+	w.requests.Add(g.now, 1)
 }
 
-// serviceWork averages the engine time of this node's requests to a service.
-type serviceWork struct{ average, recent average.Rate }
+// serviceWork averages the engine time of this node's requests to a service, and their number.
+type serviceWork struct {
+	average, recent, requests average.Rate
+	// surge is the latest surge of all nodes' work.
+	surge surge
+}
 
 // totalWork adds up the work of all nodes for a service, as a number of
 // engines. Upstreams take seconds to start, so a surge counts before the average
-// shows it.
+// shows it, and until the average has followed.
 func (g *Gateway) totalWork(service string) float64 {
 	var sum, recent float64
-	if w := g.work[service]; w != nil {
+	w := g.work[service]
+	if w != nil {
 		sum, recent = w.average.PerSecond(g.now), w.recent.PerSecond(g.now)
 	}
 	for _, m := range g.members {
@@ -69,10 +85,38 @@
 			}
 		}
 	}
-	if recent > surgeRatio*sum {
-		return recent
+	if w == nil {
+		return sum
+	}
+	requests := w.requests.PerSecond(g.now) * float64(g.contactCount(silentIntervals))
+	if recent > surgeRatio(requests)*sum {
+		w.surge.record(g.now, recent)
 	}
-	return sum
+	return max(sum, w.surge.value(g.now))
+}
+
+// surgeRatio returns the ratio of the recent work to its average above which it is no chance among
+// a number of requests.
+func surgeRatio(requests float64) float64 {
+	return max(minSurgeRatio, 1+surgeDeviations*math.Sqrt(workVariance/max(requests, 1)))
+}
+
+// surge is the work of a surge, which fades as its average follows. A dip of a second thus doesn't
+// stop upstreams that are starting.
+type surge struct {
+	work float64
+	at   time.Time
+}
+
+// record records work, unless more of an earlier moment still counts.
+func (s *surge) record(now time.Time, work float64) {
+	if work >= s.value(now) {
+		s.work, s.at = work, now
+	}
+}
+
+func (s *surge) value(now time.Time) float64 {
+	return s.work * math.Exp(-float64(now.Sub(s.at))/float64(workDecay))
 }
 
 // orderFleet orders upstreams for each scaled service whose desired number has
