--- a/internal/core/fleet/plan.go
+++ b/internal/core/fleet/plan.go
@@ -166,7 +166,7 @@
 	ready := p.count(v)
 	p.recordReclaims(now, v)
 	p.demand.recordInitial(now, ready)
-	wanted := p.plan(now, v.BusyEngines, ready)
+	wanted := p.plan(now, v, ready)
 	for _, s := range p.segments() {
 		if v.KeepAll && wanted[s] < p.expected(now, s, ready[s]) {
 			continue
@@ -189,9 +189,12 @@
 	return list
 }
 
-// plan returns the wanted number of upstreams of each segment.
-func (p *Planner) plan(now time.Time, work float64, ready counts) counts {
-	demand := p.demand.update(now, work, len(p.zones))
+// plan returns the wanted number of upstreams of each segment. A surge counts
+// for the capacity that is missing now, not for the spare capacity that the peak
+// demand keeps for long.
+func (p *Planner) plan(now time.Time, v View, ready counts) counts {
+	demand := p.demand.update(now, v.BusyEngines, len(p.zones))
+	work := max(v.BusyEngines, v.Surge)
 	wanted := make(counts)
 	target := 0
 	if p.scaling.ReclaimablePrice > 0 && p.scaling.ReclaimablePrice < 1 {
--- a/internal/core/fleet/view.go
+++ b/internal/core/fleet/view.go
@@ -8,6 +8,8 @@
 	// BusyEngines is the engine time that the requests take per unit of time, as a
 	// number of fully used engines.
 	BusyEngines float64
+	// Surge is the same during a surge that the mean does not show yet, 0 without one.
+	Surge float64
 	// KeepAll reports whether no upstream may be released, because a rollout runs
 	// two versions side by side.
 	KeepAll bool
--- a/internal/core/gateway/fleet.go
+++ b/internal/core/gateway/fleet.go
@@ -65,12 +65,12 @@
 	surge surge
 }
 
-// totalWork adds up the work of all nodes for a service, as a number of
-// engines. Upstreams take seconds to start, so a surge counts before the average
-// shows it, and until the average has followed.
-func (g *Gateway) totalWork(service string) float64 {
-	var sum, recent float64
+// totalWork adds up the work of all nodes for a service, as a number of engines: the average, and
+// the recent work during a surge, until the average has followed. Upstreams take seconds to start,
+// so a surge counts before the average shows it.
+func (g *Gateway) totalWork(service string) (sum, surge float64) {
 	w := g.work[service]
+	recent := 0.0
 	if w != nil {
 		sum, recent = w.average.PerSecond(g.now), w.recent.PerSecond(g.now)
 	}
@@ -86,13 +86,13 @@
 		}
 	}
 	if w == nil {
-		return sum
+		return sum, 0
 	}
 	requests := w.requests.PerSecond(g.now) * float64(g.contactCount(silentIntervals))
 	if recent > surgeRatio(requests)*sum {
 		w.surge.record(g.now, recent)
 	}
-	return max(sum, w.surge.value(g.now))
+	return sum, w.surge.value(g.now)
 }
 
 // surgeRatio returns the ratio of the recent work to its average above which it is no chance among
@@ -170,7 +170,8 @@
 }
 
 func (g *Gateway) fleetView(service string) fleet.View {
-	return fleet.View{Upstreams: g.upstreams.All(), BusyEngines: g.totalWork(service), KeepAll: g.rollingOut(service)}
+	work, surge := g.totalWork(service)
+	return fleet.View{Upstreams: g.upstreams.All(), BusyEngines: work, Surge: surge, KeepAll: g.rollingOut(service)}
 }
 
 func (g *Gateway) orderUpstreams(p *fleet.Planner, service string) {
@@ -189,7 +190,7 @@
 		return
 	}
 	g.log("fleet", "ordering upstreams", "service", service, "zone", order.Zone, "reclaimable", order.Reclaimable,
-		"count", order.Count, "work", view.BusyEngines, "token", g.lease.FencingToken())
+		"count", order.Count, "work", view.BusyEngines, "surge", view.Surge, "token", g.lease.FencingToken())
 	g.emit(OrderFleet{Order: order, Token: g.lease.FencingToken()})
 }
 
--- a/internal/core/gateway/fleet_test.go
+++ b/internal/core/gateway/fleet_test.go
@@ -25,13 +25,14 @@
 	b := newBench(t, "a")
 	b.ready(up("m1", "model"))
 	b.submitPrompts(50, 20*time.Second)
-	before := b.g.totalWork("model")
+	before, _ := b.g.totalWork("model")
 	b.submitPrompts(150, time.Second)
-	b.Assert(b.g.totalWork("model") > 1.8*before, qt.IsTrue, qt.Commentf("%v after %v", b.g.totalWork("model"), before))
+	_, surge := b.g.totalWork("model")
+	b.Assert(surge > 1.8*before, qt.IsTrue, qt.Commentf("%v after %v", surge, before))
 	// A dip of a second doesn't end it.
-	surged := b.g.totalWork("model")
 	b.submitPrompts(50, time.Second)
-	b.Assert(b.g.totalWork("model") > 0.8*surged, qt.IsTrue, qt.Commentf("%v after %v", b.g.totalWork("model"), surged))
+	_, later := b.g.totalWork("model")
+	b.Assert(later > 0.8*surge, qt.IsTrue, qt.Commentf("%v after %v", later, surge))
 }
 
 // TestChanceIsNoSurge: irregular arrivals around a steady demand order nothing.
@@ -39,7 +40,8 @@
 	b := newBench(t, "a")
 	b.ready(up("m1", "model"))
 	b.submitPrompts(50, 20*time.Second)
-	before := b.g.totalWork("model")
+	before, _ := b.g.totalWork("model")
 	b.submitPrompts(70, time.Second)
-	b.Assert(b.g.totalWork("model") < 1.1*before, qt.IsTrue, qt.Commentf("%v after %v", b.g.totalWork("model"), before))
+	work, surge := b.g.totalWork("model")
+	b.Assert(max(work, surge) < 1.1*before, qt.IsTrue, qt.Commentf("%v, %v after %v", work, surge, before))
 }
--- a/internal/core/gateway/paths_test.go
+++ b/internal/core/gateway/paths_test.go
@@ -214,7 +214,8 @@
 		if q := n.g.quotas["blue"]; q != nil {
 			quota = q.spent
 		}
-		return usage, quota, n.g.totalWork("model")
+		work, _ := n.g.totalWork("model")
+		return usage, quota, work
 	}
 	usage, quota, engines := counted(b)
 	b.Assert(usage, qt.Equals, int64(4))
