--- a/internal/core/gateway/effect.go
+++ b/internal/core/gateway/effect.go
@@ -185,6 +185,8 @@
 	CountAnswer Counter = "gateway_answers"
 	// CountExtra counts copies of earlier answers that came where another one was expected.
 	CountExtra Counter = "gateway_extra_answers"
+	// CountQuota counts refusals of requests beyond their team's quota, by team and cause.
+	CountQuota Counter = "gateway_quota_refusals"
 )
 
 // ExtraSkipped is the only label of CountExtra.
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -189,14 +189,19 @@
 
 // teamQuota is a team's quota with this node's spending.
 type teamQuota struct {
+	name   string
 	bucket *quota.Bucket
-	spent  float64
+	// rate and burst are the team's quota, without a tolerance; tokens is set if they are in tokens.
+	rate, burst float64
+	tokens      bool
+	spent       float64
 	// published is the part of spent that has been sent to all peers.
 	published float64
 	// asked is the cost of all of the team's requests here, refused ones too.
-	asked float64
-	// demand averages asked, peerDemand what the peers report of theirs.
-	demand, peerDemand average.Rate
+	// requests is their number.
+	asked, requests float64
+	// demand averages asked by rank.
+	demand [quota.RankCount]average.Rate
 }
 
 // Reduce processes an event and returns the effects to execute.
--- a/internal/core/gateway/members.go
+++ b/internal/core/gateway/members.go
@@ -55,6 +55,8 @@
 	// it is not asked for its configuration before configPausedUntil.
 	announcedConfig   int64
 	configPausedUntil time.Time
+	// quotaDemand is what teams ask the node for, by team.
+	quotaDemand map[string]peerDemand
 	// addedAt is when the node became known here.
 	addedAt time.Time
 }
--- a/internal/core/gateway/quota.go
+++ b/internal/core/gateway/quota.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"monsoonlanding/internal/core/average"
 	"monsoonlanding/internal/core/quota"
 	"monsoonlanding/internal/core/route"
 )
@@ -19,8 +18,7 @@
 	return float64(r.team.DefaultTokens)
 }
 
-// takeQuota spends the request's cost, or returns the time until the quota
-// suffices.
+// takeQuota spends the request's cost, or returns the time after which to retry.
 func (g *Gateway) takeQuota(r *request) (wait time.Duration, ok bool) {
 	if r.team == nil || r.team.Rate <= 0 {
 		return 0, true
@@ -28,13 +26,16 @@
 	quotaShare := g.quotaShare()
 	q := g.teamQuota(r.team)
 	c := cost(r)
-	left := q.bucket.Available(g.now, quotaShare)
-	unreported := g.unreported(q, c)
+	rank := quotaRank(r)
+	admission := g.quotaAdmission(q, rank, c, quotaShare)
+	q.requests++
 	q.asked += c
-	q.demand.Add(g.now, c)
-	if left < c || left-c < unreported*g.rng.Float64() {
-		g.logRequest(r, "quota", "quota spent", "cost", c, "left", left, "share", quotaShare,
-			"unheard", unreported, "rate", r.team.Rate, "burst", r.team.Burst)
+	q.demand[rank].Add(g.now, c)
+	if verdict := admission.Decide(rank, c, g.rng.Float64()); verdict != quota.VerdictAdmitted {
+		g.countQuotaRefusal(r, verdict)
+		g.logRequest(r, "quota", "quota spent", "cost", c, "left", admission.Left, "share", quotaShare,
+			"unheard", admission.Unreported.Sum(), "reserved", admission.Reserve(rank), "verdict", string(verdict),
+			"rate", r.team.Rate, "burst", r.team.Burst)
 		return max(q.bucket.Wait(g.now, c, quotaShare), minRetryAfter), false
 	}
 	q.bucket.Spend(g.now, c, quotaShare)
@@ -47,45 +48,20 @@
 	return 0, true
 }
 
-// demandDecay is the time constant of the decay of a team's demand.
-const demandDecay = 500 * time.Millisecond
-
-// surgeRequests is the number of requests, of the size of the next one, that a team must have
-// sent to this node within demandDecay for the node to conclude from its own demand on that of
-// its peers. One or two arrive together by chance, and among many nodes each stands for many.
-const surgeRequests = 2
-
-// surgeFactor is the factor by which a node's own demand must exceed what its peers report to
-// count as a surge that they have not reported yet, and not as chance.
-const surgeFactor = 1.5
-
-// unreported estimates the units that the peers have spent since their latest statuses: what
-// they have reported that teams ask for lately, or if that is more, what this node is asked
-// for itself during a surge that has begun since. Near a limit they send a status on the tick
-// after interval/lowQuotaDivisor. If less than the estimate is left, takeQuota admits requests at
-// random, only as many as are likely to fit for all nodes together.
-func (g *Gateway) unreported(q *teamQuota, cost float64) float64 {
-	rate := q.peerDemand.PerSecond(g.now)
-	if own := q.demand.PerSecond(g.now); own*demandDecay.Seconds() >= surgeRequests*cost {
-		peers := float64(g.contactCount(silentIntervals) - 1)
-		if own*peers > surgeFactor*rate {
-			rate = own * peers
-		}
-	}
-	return rate * (g.interval()/lowQuotaDivisor + TickInterval).Seconds()
-}
-
 func (g *Gateway) teamQuota(team *route.Team) *teamQuota {
 	limit := g.limit(team)
 	q := g.quotas[team.Name]
 	if q == nil {
 		q = &teamQuota{
-			bucket:     quota.New(limit, g.initialLevel(team, limit), g.now),
-			demand:     average.Rate{Decay: demandDecay},
-			peerDemand: average.Rate{Decay: demandDecay},
+			name:   team.Name,
+			bucket: quota.New(limit, g.initialLevel(team, limit), g.now),
+		}
+		for rank := range q.demand {
+			q.demand[rank].Decay = demandDecay
 		}
 		g.quotas[team.Name] = q
 	}
+	q.rate, q.burst, q.tokens = team.Rate, team.Burst, team.Unit == route.UnitTokens
 	if q.bucket.Limit() != limit {
 		q.bucket.SetLimit(limit)
 	}
@@ -162,17 +138,14 @@
 	return float64(g.contactCount(quotaSilentIntervals)) / float64(len(g.members)+1)
 }
 
-// deductQuota subtracts units that a peer has spent from a team's quota. The peer was asked for
-// as many, or more.
-func (g *Gateway) deductQuota(name string, units, asked, share float64) {
+// deductQuota subtracts units that a peer has spent from a team's quota.
+func (g *Gateway) deductQuota(name string, units, share float64) {
 	for i := range g.table.Teams() {
 		team := &g.table.Teams()[i]
 		if team.Name != name || team.Rate <= 0 {
 			continue
 		}
-		q := g.teamQuota(team)
-		q.bucket.Spend(g.now, units, share)
-		q.peerDemand.Add(g.now, max(asked, 0))
+		g.teamQuota(team).bucket.Spend(g.now, units, share)
 		return
 	}
 }
--- a/internal/core/gateway/status.go
+++ b/internal/core/gateway/status.go
@@ -58,7 +58,7 @@
 	s.Limits = g.upstreams.OwnLimits(g.now)
 	s.Brittle = g.upstreams.OwnBrittle(g.now)
 	for name, q := range g.quotas {
-		s.QuotaSpent = append(s.QuotaSpent, peer.TeamQuotaSpent{Team: name, Units: q.spent, Asked: q.asked})
+		s.QuotaSpent = append(s.QuotaSpent, g.teamQuotaSpent(name, q))
 	}
 	for name, w := range g.work {
 		s.EngineLoad = append(s.EngineLoad, peer.ServiceEngineLoad{Service: name, Engines: w.PerSecond(g.now)})
@@ -183,26 +183,6 @@
 	return true
 }
 
-// deductPeerSpending subtracts from the quotas the units that the peer has
-// spent since its last status, and notes those that it was asked for. A new process counts
-// from zero.
-func (g *Gateway) deductPeerSpending(m *member, s peer.Status) {
-	before := make(map[string]peer.TeamQuotaSpent)
-	if s.Start == m.status.Start {
-		for _, spent := range m.status.QuotaSpent {
-			before[spent.Team] = spent
-		}
-	}
-	share := g.quotaShare()
-	for _, spent := range s.QuotaSpent {
-		units := spent.Units - before[spent.Team].Units
-		asked := max(spent.Asked-before[spent.Team].Asked, units)
-		if units != 0 || asked > 0 {
-			g.deductQuota(spent.Team, units, asked, share)
-		}
-	}
-}
-
 func upstreamLoads(s peer.Status) map[string]placement.UpstreamLoad {
 	loads := make(map[string]placement.UpstreamLoad, len(s.Load))
 	for _, p := range s.Load {
--- a/internal/core/peer/status.go
+++ b/internal/core/peer/status.go
@@ -160,6 +160,9 @@
 	Units float64 `cbor:"2,keyasint"`
 	// Asked counts the units of all requests, refused ones too.
 	Asked float64 `cbor:"3,keyasint,omitempty"`
+	// RankPercent divides what the team has asked for lately by rank of urgency, while it is near
+	// its quota.
+	RankPercent []int `cbor:"4,keyasint,omitempty"`
 }
 
 // UsageWindow holds the number of requests per team that started in a window.
