--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -191,6 +191,8 @@
 type teamQuota struct {
 	name   string
 	bucket *quota.Bucket
+	// returns schedules the requests refused here.
+	returns quota.Returns
 	// rate and burst are the team's quota, without a tolerance; tokens is set if they are in tokens.
 	rate, burst float64
 	tokens      bool
--- a/internal/core/gateway/quota.go
+++ b/internal/core/gateway/quota.go
@@ -27,16 +27,16 @@
 	q := g.teamQuota(r.team)
 	c := cost(r)
 	rank := quotaRank(r)
-	admission := g.quotaAdmission(q, rank, c, quotaShare)
+	state := g.quotaAdmission(q, rank, c, quotaShare)
 	q.requests++
 	q.asked += c
 	q.demand[rank].Add(g.now, c)
-	if verdict := admission.Decide(rank, c, g.rng.Float64()); verdict != quota.VerdictAdmitted {
+	if verdict := state.Decide(rank, c, g.rng.Float64()); verdict != quota.VerdictAdmitted {
 		g.countQuotaRefusal(r, verdict)
-		g.logRequest(r, "quota", "quota spent", "cost", c, "left", admission.Left, "share", quotaShare,
-			"unheard", admission.Unreported.Sum(), "reserved", admission.Reserve(rank), "verdict", string(verdict),
+		g.logRequest(r, "quota", "quota spent", "cost", c, "left", state.Left, "share", quotaShare,
+			"unheard", state.Unreported.Sum(), "reserved", state.Reserve(rank), "verdict", string(verdict),
 			"rate", r.team.Rate, "burst", r.team.Burst)
-		return max(q.bucket.Wait(g.now, c, quotaShare), minRetryAfter), false
+		return g.quotaRetryAfter(r, q, state, quotaShare), false
 	}
 	q.bucket.Spend(g.now, c, quotaShare)
 	r.cost = c
@@ -48,6 +48,33 @@
 	return 0, true
 }
 
+const (
+	// callerPatience is the part of its remaining time for which a caller waits to repeat a request.
+	callerPatience = 1.0 / 3
+	// minRefillFraction is the least fraction of the refill that refused requests of a rank are
+	// assumed to get.
+	minRefillFraction = 0.05
+)
+
+// quotaRetryAfter returns the time after which a refused request may return: once the refill
+// covers it, the reserve of more urgent ones and those refused here before.
+func (g *Gateway) quotaRetryAfter(r *request, q *teamQuota, a quotaState, share float64) time.Duration {
+	rank, c := quotaRank(r), cost(r)
+	earliest := q.bucket.Wait(g.now, c+a.Reserve(rank), share)
+	refill := q.bucket.Limit().Rate * share
+	free := refill
+	for i := range rank {
+		free -= a.perSecond[i]
+	}
+	free = max(free, minRefillFraction*refill)
+	part := 1 / float64(g.contactCount(quotaSilentIntervals))
+	if a.perSecond[rank] > 0 {
+		part = max(part, a.own[rank]/a.perSecond[rank])
+	}
+	patience := time.Duration(callerPatience * float64(r.deadline.Sub(g.now)))
+	return q.returns.Schedule(g.now, rank, c, free*part, max(earliest, minRetryAfter), patience)
+}
+
 func (g *Gateway) teamQuota(team *route.Team) *teamQuota {
 	limit := g.limit(team)
 	q := g.quotas[team.Name]
--- a/internal/core/gateway/quota_demand.go
+++ b/internal/core/gateway/quota_demand.go
@@ -37,17 +37,25 @@
 // quotaRank returns the rank of a request among those of its team.
 func quotaRank(r *request) int { return min(max(r.route.Priority, 0), quota.RankCount-1) }
 
+// quotaState is what a decision on a request is made from: what this node and all nodes in contact
+// are asked for by rank.
+type quotaState struct {
+	quota.Admission
+	own, perSecond quota.Demand
+}
+
 // quotaAdmission returns what a decision on a request of a rank is made from.
-func (g *Gateway) quotaAdmission(q *teamQuota, rank int, cost, share float64) quota.Admission {
+func (g *Gateway) quotaAdmission(q *teamQuota, rank int, cost, share float64) quotaState {
 	overdraft, debt := g.quotaOverdraft(q)
 	own := q.demandPerSecond(g.now)
 	peers := g.peersDemand(q.name, own, rank)
-	a := quota.Admission{
+	a := quotaState{own: own, Admission: quota.Admission{
 		Left: q.bucket.Available(g.now, share), Overdraft: overdraft * share, Debt: debt * share,
 		Unreported: peers.unreported(own, max(cost, q.asked/max(q.requests, 1)), g.demandPeriod()),
-	}
+	}}
 	for i := range own {
-		a.Expected[i] = (own[i] + peers.fresh[i] + peers.stale[i]) * reserveTime.Seconds()
+		a.perSecond[i] = own[i] + peers.fresh[i] + peers.stale[i]
+		a.Expected[i] = a.perSecond[i] * reserveTime.Seconds()
 	}
 	return a
 }
@@ -148,9 +156,18 @@
 	}
 	limit := q.bucket.Limit()
 	rest := max(bound-limit.Rate*window-limit.Burst, 0)
+	if g.justRestarted() {
+		return 0, debtFraction * rest
+	}
 	return overdraftFraction * rest, debtFraction * rest
 }
 
+// justRestarted reports whether this process may not know yet what others are asked for, on a VM
+// on which an earlier one ran. All nodes may have restarted with it.
+func (g *Gateway) justRestarted() bool {
+	return !g.cfg.FirstStart && g.now.Sub(g.started) < quotaSilentIntervals*g.interval()
+}
+
 // demandPerSecond returns what this node is asked for by rank.
 func (q *teamQuota) demandPerSecond(now time.Time) quota.Demand {
 	var d quota.Demand
--- a/internal/core/gateway/quota_team_test.go
+++ b/internal/core/gateway/quota_team_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -23,6 +24,8 @@
 	// cutAt, restartAt: half of the nodes is cut off, nodes are restarted; zero for never.
 	cutAt, restartAt time.Duration
 	restarted        int
+	// length is the length of the surge, surgeLength if it is 0.
+	length time.Duration
 	// delay is the longest time that a status takes.
 	delay time.Duration
 	seed  uint64
@@ -33,7 +36,7 @@
 	surgeStart  = 1500 * time.Millisecond
 	surgeRise   = 500 * time.Millisecond
 	surgeLength = 5 * time.Second
-	teamLength  = surgeStart + surgeLength + 500*time.Millisecond
+	afterSurge  = 500 * time.Millisecond
 	teamSlack   = 140_000
 	teamOver    = 0.1
 )
@@ -111,6 +114,7 @@
 }
 
 func newTeamWorld(t *testing.T, l teamLoad) *teamWorld {
+	l.length = cmp.Or(l.length, surgeLength)
 	w := &teamWorld{teamLoad: l, t: t, rng: rand.New(rand.NewPCG(uint64(l.nodes), l.seed)), now: epoch, nodes: make(map[string]*bench), level: l.rate}
 	w.config = testConfig(1)
 	w.config.Teams[0].Rate, w.config.Teams[0].Burst = l.rate, l.rate
@@ -190,7 +194,7 @@
 // demand returns the team's demand in units a second.
 func (w *teamWorld) demand() float64 {
 	since := w.now.Sub(epoch) - surgeStart
-	if since < 0 || since > surgeLength {
+	if since < 0 || since > w.length {
 		return usualDemand * w.rate
 	}
 	rise := min(1, float64(since)/float64(surgeRise))
@@ -199,7 +203,7 @@
 
 func (w *teamWorld) inSurge() bool {
 	since := w.now.Sub(epoch) - surgeStart
-	return since >= 0 && since < surgeLength
+	return since >= 0 && since < w.length
 }
 
 // request sends one request of the team.
@@ -260,7 +264,7 @@
 	}
 	mean /= totalWeight
 	owedDemand, other := 0.0, 0.0
-	for i := 0; w.now.Before(epoch.Add(teamLength)); i++ {
+	for i := 0; w.now.Before(epoch.Add(surgeStart + w.length + afterSurge)); i++ {
 		w.now = epoch.Add(time.Duration(i) * step)
 		w.level = min(w.level+w.rate*step.Seconds(), w.rate)
 		w.deliver()
@@ -316,7 +320,7 @@
 	bound := (w.rate*window.Seconds()+w.rate)*(1+teamOver) + teamSlack
 	surge, first, sum := 0.0, 0, 0.0
 	for i, at := range w.admittedAt {
-		if since := at.Sub(epoch) - surgeStart; since >= 0 && since < surgeLength {
+		if since := at.Sub(epoch) - surgeStart; since >= 0 && since < w.length {
 			surge += w.admitted[i]
 		}
 		sum += w.admitted[i]
@@ -326,7 +330,7 @@
 		}
 		w.result.greatest = max(w.result.greatest, sum/bound)
 	}
-	w.result.used = surge / (w.rate * (1 + surgeLength.Seconds()))
+	w.result.used = surge / (w.rate * (1 + w.length.Seconds()))
 }
 
 func TestTeamTable(t *testing.T) {
@@ -342,9 +346,18 @@
 		{nodes: 7, rate: 1_200_000, factor: 3.3, cutAt: surgeStart},
 		{nodes: 90, rate: 1_200_000, factor: 3.3, restartAt: 3 * time.Second, restarted: 90},
 		{nodes: 90, rate: 1_200_000, factor: 3.3, restartAt: 3 * time.Second, restarted: 30},
+		{nodes: 7, rate: 1_200_000, factor: 3.3, cutAt: surgeStart, length: 9 * time.Second},
+		{nodes: 24, rate: 1_200_000, factor: 3.3, cutAt: surgeStart, length: 9 * time.Second},
+		{nodes: 90, rate: 1_200_000, factor: 3.3, cutAt: surgeStart, length: 9 * time.Second},
+		{nodes: 90, rate: 1_200_000, factor: 10, cutAt: surgeStart, length: 9 * time.Second},
+		{nodes: 90, rate: 1_200_000, factor: 10, length: 9 * time.Second},
+		{nodes: 90, rate: 1_200_000, factor: 10, cutAt: 5 * time.Second, length: 9 * time.Second},
+		{nodes: 90, rate: 1_200_000, factor: 10, restartAt: 5 * time.Second, restarted: 90, length: 9 * time.Second},
+		{nodes: 90, rate: 64_000, factor: 10, cutAt: surgeStart, length: 9 * time.Second},
+		{nodes: 90, rate: 64_000, factor: 10, restartAt: 5 * time.Second, restarted: 90, length: 9 * time.Second},
 	} {
 		l.delay, l.seed = 60*time.Millisecond, 5
-		t.Run(fmt.Sprintf("%d nodes, %d hot, %.0f, %.1f, cut %v, restart %d", l.nodes, l.hotNodes, l.rate, l.factor, l.cutAt, l.restarted), func(t *testing.T) {
+		t.Run(fmt.Sprintf("%v long, %d nodes, %d hot, %.0f, %.1f, cut %v, restart %d", l.length, l.nodes, l.hotNodes, l.rate, l.factor, l.cutAt, l.restarted), func(t *testing.T) {
 			started := time.Now()
 			r := newTeamWorld(t, l).play()
 			t.Log(r, time.Since(started).Round(100*time.Millisecond))
--- a/internal/core/quota/admission.go
+++ b/internal/core/quota/admission.go
@@ -39,7 +39,8 @@
 	// Left is the number of units left, without what peers have not reported yet.
 	Left float64
 	// Overdraft is the part of the tolerance that may be spent in place of what peers may have
-	// spent unreported, Debt the part by which a single request may exceed that.
+	// spent unreported. Debt is the part by which a single request may exceed that, and by which
+	// less urgent requests, admitted before peers reported theirs, don't count for more urgent ones.
 	Overdraft, Debt float64
 	// Unreported is what peers have probably been asked for since their latest reports.
 	Unreported Demand
@@ -56,10 +57,19 @@
 	return sum
 }
 
+// credit returns the part of Debt that is used for what less urgent requests have just spent.
+func (a Admission) credit(rank int) float64 {
+	sum := 0.0
+	for i := rank + 1; i < RankCount; i++ {
+		sum += max(a.Unreported[i], a.Expected[i])
+	}
+	return min(sum, a.Debt)
+}
+
 // Decide decides on a request. The draw is a random number from 0 to 1.
 func (a Admission) Decide(rank int, cost, draw float64) Verdict {
-	left := a.Left + a.Overdraft
-	if left <= 0 || left+a.Debt < cost {
+	left := a.Left + a.Overdraft + a.credit(rank)
+	if left <= 0 || a.Left+a.Overdraft+a.Debt < cost {
 		return VerdictSpent
 	}
 	room := left - a.Reserve(rank)
