--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -204,6 +204,8 @@
 	asked, requests float64
 	// demand averages asked by rank.
 	demand [quota.RankCount]average.Rate
+	// askedLately and admittedLately average what was asked and what of it was admitted.
+	askedLately, admittedLately average.Rate
 }
 
 // Reduce processes an event and returns the effects to execute.
@@ -324,6 +326,7 @@
 	g.continueAfterPauses()
 	g.dispatchQueues()
 	g.checkRollouts()
+	g.chargeSilence()
 	g.sendDueStatuses()
 	g.fetchConfig()
 	g.performDuties()
--- a/internal/core/gateway/members.go
+++ b/internal/core/gateway/members.go
@@ -57,6 +57,12 @@
 	configPausedUntil time.Time
 	// quotaDemand is what teams ask the node for, by team.
 	quotaDemand map[string]peerDemand
+	// demandKnown is set once two statuses of the process have shown its demand.
+	demandKnown bool
+	// quotaSilent is set while the node's part of the quotas is left to it, quotaCharged is what
+	// was charged meanwhile for its unreported spending, by team.
+	quotaSilent  bool
+	quotaCharged map[string]float64
 	// addedAt is when the node became known here.
 	addedAt time.Time
 }
--- a/internal/core/gateway/quota.go
+++ b/internal/core/gateway/quota.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"monsoonlanding/internal/core/average"
 	"monsoonlanding/internal/core/quota"
 	"monsoonlanding/internal/core/route"
 )
@@ -28,10 +29,9 @@
 	c := cost(r)
 	rank := quotaRank(r)
 	state := g.quotaAdmission(q, rank, c, quotaShare)
-	q.requests++
-	q.asked += c
-	q.demand[rank].Add(g.now, c)
-	if verdict := state.Decide(rank, c, g.rng.Float64()); verdict != quota.VerdictAdmitted {
+	verdict := state.Decide(rank, c, g.rng.Float64())
+	q.recordAsked(g.now, rank, c, verdict)
+	if verdict != quota.VerdictAdmitted {
 		g.countQuotaRefusal(r, verdict)
 		g.logRequest(r, "quota", "quota spent", "cost", c, "left", state.Left, "share", quotaShare,
 			"unheard", state.Unreported.Sum(), "reserved", state.Reserve(rank), "verdict", string(verdict),
@@ -80,8 +80,10 @@
 	q := g.quotas[team.Name]
 	if q == nil {
 		q = &teamQuota{
-			name:   team.Name,
-			bucket: quota.New(limit, g.initialLevel(team, limit), g.now),
+			name:           team.Name,
+			bucket:         quota.New(limit, g.initialLevel(team, limit), g.now),
+			askedLately:    average.Rate{Decay: admittedPeriod},
+			admittedLately: average.Rate{Decay: admittedPeriod},
 		}
 		for rank := range q.demand {
 			q.demand[rank].Decay = demandDecay
@@ -103,7 +105,7 @@
 	if g.cfg.FirstStart || g.now.Sub(g.started) > g.cfg.Bounds.QuotaWindow {
 		return limit.Burst
 	}
-	return restartFraction * (limit.Burst - team.Burst)
+	return restartFraction * (limit.Burst - team.Burst) * g.quotaShare()
 }
 
 // restartFraction is the fraction that a new process may spend at once of the
@@ -160,9 +162,16 @@
 const quotaSilentIntervals = 2
 
 // quotaShare returns the fraction of the quotas that belongs to the nodes in
-// contact: each silent node may spend its own part.
+// contact: each silent node may spend its own part. A process that has just started leaves their
+// parts to those of whose demand it knows nothing, too: all may have started with it.
 func (g *Gateway) quotaShare() float64 {
-	return float64(g.contactCount(quotaSilentIntervals)) / float64(len(g.members)+1)
+	count := 1
+	for _, m := range g.members {
+		if g.contactWithin(m, quotaSilentIntervals) && (m.demandKnown || !g.justRestarted()) {
+			count++
+		}
+	}
+	return float64(count) / float64(len(g.members)+1)
 }
 
 // deductQuota subtracts units that a peer has spent from a team's quota.
--- a/internal/core/gateway/quota_demand.go
+++ b/internal/core/gateway/quota_demand.go
@@ -51,7 +51,7 @@
 	peers := g.peersDemand(q.name, own, rank)
 	a := quotaState{own: own, Admission: quota.Admission{
 		Left: q.bucket.Available(g.now, share), Overdraft: overdraft * share, Debt: debt * share,
-		Unreported: peers.unreported(own, max(cost, q.asked/max(q.requests, 1)), g.demandPeriod()),
+		Unreported: peers.unreported(own, max(cost, q.usualCost()), g.demandPeriod()),
 	}}
 	for i := range own {
 		a.perSecond[i] = own[i] + peers.fresh[i] + peers.stale[i]
@@ -115,12 +115,11 @@
 // others.
 func (p *peersDemand) unreported(own quota.Demand, usualCost float64, period time.Duration) quota.Demand {
 	units := p.freshUnits
-	recent, count := p.fresh.Sum()+own.Sum(), float64(p.freshCount+1)
-	shown := p.fresh.Sum()*period.Seconds() + own.Sum()*demandDecay.Seconds()
-	surge := shown >= surgeRequests*usualCost && recent*float64(p.staleCount) > surgeFactor*p.stale.Sum()*count
+	surge := p.surge(own, usualCost, period)
+	mean := p.recentMean(own)
 	for i := range units {
 		if surge {
-			units[i] += (p.fresh[i] + own[i]) / count * p.staleAge.Seconds()
+			units[i] += mean[i] * p.staleAge.Seconds()
 		} else {
 			units[i] += p.staleUnits[i]
 		}
@@ -128,6 +127,23 @@
 	return units
 }
 
+// surge reports whether this node and the peers with fresh statuses are asked for more than the
+// others have reported.
+func (p *peersDemand) surge(own quota.Demand, usualCost float64, period time.Duration) bool {
+	shown := p.fresh.Sum()*period.Seconds() + own.Sum()*demandDecay.Seconds()
+	recent := p.recentMean(own).Sum() * float64(p.staleCount)
+	return shown >= surgeRequests*usualCost && recent > surgeFactor*p.stale.Sum()
+}
+
+// recentMean returns the mean demand of this node and the peers with fresh statuses.
+func (p *peersDemand) recentMean(own quota.Demand) quota.Demand {
+	mean := own
+	for i := range mean {
+		mean[i] = (p.fresh[i] + own[i]) / float64(p.freshCount+1)
+	}
+	return mean
+}
+
 // byRank returns the demand by rank. One that the peer has not divided is divided as this node's
 // own, or counts for the given rank if there is none.
 func (d peerDemand) byRank(own quota.Demand, rank int) quota.Demand {
@@ -214,6 +230,7 @@
 	}
 	first := m.lastContact.IsZero()
 	share := g.quotaShare()
+	g.refundSilence(m, share)
 	demand := make(map[string]peerDemand)
 	for _, spent := range s.QuotaSpent {
 		units := spent.Units - before[spent.Team].Units
@@ -229,7 +246,7 @@
 			demand[spent.Team] = newPeerDemand(perSecond, spent.RankPercent)
 		}
 	}
-	m.quotaDemand = demand
+	m.quotaDemand, m.demandKnown = demand, s.Start == m.status.Start
 }
 
 // smoothDemand returns the mean demand after units that were asked for in a period. A short period
