--- a/internal/core/gateway/quota_demand.go
+++ b/internal/core/gateway/quota_demand.go
@@ -246,7 +246,24 @@
 			demand[spent.Team] = newPeerDemand(perSecond, spent.RankPercent)
 		}
 	}
-	m.quotaDemand, m.demandKnown = demand, s.Start == m.status.Start
+	m.quotaDemand = demand
+	m.demandKnown = s.Start == m.status.Start || g.outlivesThis(s)
+}
+
+// outlivingBursts is the number of its parts of a burst that a process which has spent more has
+// certainly not just started.
+const outlivingBursts = 4
+
+// outlivesThis reports whether a peer's process has spent so much that it must have started long
+// before this one. Then not all have restarted together, and it counts what this one spends.
+func (g *Gateway) outlivesThis(s peer.Status) bool {
+	for _, spent := range s.QuotaSpent {
+		q := g.quotas[spent.Team]
+		if q != nil && spent.Units > outlivingBursts*q.bucket.Limit().Burst/float64(len(g.members)+1) {
+			return true
+		}
+	}
+	return false
 }
 
 // smoothDemand returns the mean demand after units that were asked for in a period. A short period
