--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -206,6 +206,8 @@
 	demand [quota.RankCount]average.Rate
 	// askedLately and admittedLately average what was asked and what of it was admitted.
 	askedLately, admittedLately average.Rate
+	// latest is what the latest decision was made from.
+	latest quota.Admission
 }
 
 // Reduce processes an event and returns the effects to execute.
--- a/internal/core/gateway/quota.go
+++ b/internal/core/gateway/quota.go
@@ -30,6 +30,7 @@
 	rank := quotaRank(r)
 	state := g.quotaAdmission(q, rank, c, quotaShare)
 	verdict := state.Decide(rank, c, g.rng.Float64())
+	q.latest = state.Admission
 	q.recordAsked(g.now, rank, c, verdict)
 	if verdict != quota.VerdictAdmitted {
 		g.countQuotaRefusal(r, verdict)
--- a/internal/core/gateway/state.go
+++ b/internal/core/gateway/state.go
@@ -1,6 +1,11 @@
 package gateway
 
-import "monsoonlanding/internal/core/quarantine"
+import (
+	"strconv"
+
+	"monsoonlanding/internal/core/quarantine"
+	"monsoonlanding/internal/core/quota"
+)
 
 // State is a snapshot of a node, for its metrics.
 type State struct {
@@ -19,11 +24,25 @@
 	// QuotaLeft is the number of units that each team served here may spend at
 	// once.
 	QuotaLeft map[string]float64 `json:"quota_left"`
+	// Quotas holds the quotas of the teams served here.
+	Quotas map[string]QuotaState `json:"quotas"`
 	// Quarantined is the number of crashes for each trait of requests that is
 	// refused because of them.
 	Quarantined map[quarantine.Trait]int `json:"quarantined"`
 }
 
+// QuotaState is a snapshot of a team's quota, in its units.
+type QuotaState struct {
+	// Rate a second and Burst are the limit without a tolerance.
+	Rate  float64 `json:"rate"`
+	Burst float64 `json:"burst"`
+	// Spent and Asked count from the start of this process, on this node.
+	Spent float64 `json:"spent"`
+	Asked float64 `json:"asked"`
+	// Reserve is kept for the requests of each rank, by its number.
+	Reserve map[string]float64 `json:"reserve"`
+}
+
 // ServiceState is a snapshot of a service.
 type ServiceState struct {
 	Upstreams int `json:"upstreams"`
@@ -49,6 +68,7 @@
 		LeaseToken:     g.lease.FencingToken(),
 		Services:       make(map[string]ServiceState),
 		QuotaLeft:      make(map[string]float64),
+		Quotas:         make(map[string]QuotaState),
 		Quarantined:    g.quarantine.Quarantined(),
 	}
 	for _, service := range g.table.Services() {
@@ -56,6 +76,17 @@
 	}
 	for name, q := range g.quotas {
 		s.QuotaLeft[name] = q.bucket.Level()
+		s.Quotas[name] = q.state()
+	}
+	return s
+}
+
+func (q *teamQuota) state() QuotaState {
+	s := QuotaState{Rate: q.rate, Burst: q.burst, Spent: q.spent, Asked: q.asked, Reserve: make(map[string]float64)}
+	for rank := range quota.RankCount {
+		if need := q.latest.Need(rank); need > 0 {
+			s.Reserve[strconv.Itoa(rank)] = need
+		}
 	}
 	return s
 }
--- a/internal/core/quota/admission.go
+++ b/internal/core/quota/admission.go
@@ -27,9 +27,6 @@
 	VerdictReserved Verdict = "reserved"
 )
 
-// Verdicts lists the verdicts that refuse, so that each has a counter from the start.
-func Verdicts() []Verdict { return []Verdict{VerdictSpent, VerdictReserved} }
-
 // Admission decides on requests of a team whose demand may be several times its quota and comes
 // to many nodes, which learn of each other's spending with a delay. A node can't know which
 // requests its peers admit meanwhile, but all can divide what is left alike: each rank gets the
@@ -48,11 +45,14 @@
 	Expected Demand
 }
 
+// Need returns what requests of a rank need until the others' spending is known.
+func (a Admission) Need(rank int) float64 { return max(a.Unreported[rank], a.Expected[rank]) }
+
 // Reserve returns the number of units reserved for requests that are more urgent than a rank.
 func (a Admission) Reserve(rank int) float64 {
 	sum := 0.0
 	for i := range rank {
-		sum += max(a.Unreported[i], a.Expected[i])
+		sum += a.Need(i)
 	}
 	return sum
 }
@@ -61,7 +61,7 @@
 func (a Admission) credit(rank int) float64 {
 	sum := 0.0
 	for i := rank + 1; i < RankCount; i++ {
-		sum += max(a.Unreported[i], a.Expected[i])
+		sum += a.Need(i)
 	}
 	return min(sum, a.Debt)
 }
