--- a/internal/core/gateway/quota_team_test.go
+++ b/internal/core/gateway/quota_team_test.go
@@ -120,8 +120,10 @@
 	w.config = testConfig(1)
 	w.config.Teams[0].Rate, w.config.Teams[0].Burst = l.rate, l.rate
 	w.config.Teams = append(w.config.Teams, route.Team{Name: "green", Keys: []string{"g"}, Unit: route.UnitTokens, DefaultTokens: 100, Rate: l.rate, Burst: l.rate})
-	w.config.Routes = append(w.config.Routes, route.Route{Name: "digest", Host: "h", PathPrefix: "/digest/", Kind: route.KindStreaming,
-		Timeout: 10 * time.Second, LatencyGoal: time.Second, Attempts: 1, Priority: 2, Targets: []route.Target{{Service: "model"}}})
+	w.config.Routes = append(w.config.Routes, route.Route{
+		Name: "digest", Host: "h", PathPrefix: "/digest/", Kind: route.KindStreaming,
+		Timeout: 10 * time.Second, LatencyGoal: time.Second, Attempts: 1, Priority: 2, Targets: []route.Target{{Service: "model"}},
+	})
 	for i := range 20 {
 		w.engines = append(w.engines, up(fmt.Sprint("m", i), "model"))
 	}
