--- a/internal/core/gateway/quota_demand.go
+++ b/internal/core/gateway/quota_demand.go
@@ -11,6 +11,8 @@
 const (
 	// demandDecay is the time constant of the decay of a team's demand.
 	demandDecay = 500 * time.Millisecond
+	// maxDemandPeriod bounds the time constant of the mean of peers' demand.
+	maxDemandPeriod = 500 * time.Millisecond
 	// minDemand is the demand in units a second below which a peer counts as asked for nothing.
 	minDemand = 1
 	// reserveTime is the time for which more urgent requests of a team have a reserve. It bridges
@@ -275,7 +277,7 @@
 }
 
 // demandPeriod is the time constant of the mean of peers' demand.
-func (g *Gateway) demandPeriod() time.Duration { return g.interval() / 2 }
+func (g *Gateway) demandPeriod() time.Duration { return min(g.interval()/2, maxDemandPeriod) }
 
 // firstSpending returns the number of units of a peer's first report that count here. What it
 // spent before this process started is not in its bucket, which starts nearly empty; since then
--- a/internal/core/gateway/quota_team_test.go
+++ b/internal/core/gateway/quota_team_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"monsoonlanding/internal/core/placement"
+	"monsoonlanding/internal/core/quota"
 	"monsoonlanding/internal/core/route"
 )
 
@@ -431,3 +432,35 @@
 		})
 	}
 }
+
+// TestDemandOfEarlierBuilds: a build that doesn't divide its demand by rank counts as divided like
+// this node's, so that it takes no part of the reserve of more urgent requests by itself.
+func TestDemandOfEarlierBuilds(t *testing.T) {
+	c := qt.New(t)
+	c.Assert(newPeerDemand(100, nil).byRank(quota.Demand{10, 30}, 0), qt.Equals, quota.Demand{25, 75})
+	c.Assert(newPeerDemand(100, nil).byRank(quota.Demand{}, 2), qt.Equals, quota.Demand{0, 0, 100})
+	c.Assert(newPeerDemand(100, []int{20, 0, 80}).byRank(quota.Demand{10}, 0), qt.Equals, quota.Demand{20, 0, 80})
+	c.Assert(newPeerDemand(100, []int{-5, 50, 0, 0, 0, 0, 0, 0, 0, 0, 0, 50}).byRank(quota.Demand{}, 0), qt.Equals, quota.Demand{1: 50, 9: 50})
+}
+
+// TestRefusedRequestsReturnOneByOne: requests beyond the quota that are refused at the same time
+// are named times that the refill covers one after the other.
+func TestRefusedRequestsReturnOneByOne(t *testing.T) {
+	b := newBench(t, "a")
+	b.ready(up("m1", "model"))
+	var waits []time.Duration
+	for range 30 {
+		_, effects := b.submit(Request{Path: "/ask/1", Key: "k", Prompt: placement.Prompt{InputTokens: 1900, MaxOutputTokens: 100}})
+		for _, e := range effects {
+			if refuse, ok := e.(Refuse); ok {
+				b.Assert(refuse.Reason, qt.Equals, ReasonQuota)
+				waits = append(waits, refuse.RetryAfter)
+			}
+		}
+	}
+	// The burst holds ten; the refill covers five a second, and callers wait for up to 5 s.
+	b.Assert(waits, qt.HasLen, 20)
+	for i, wait := range waits[1:] {
+		b.Assert(wait-waits[i], qt.Equals, 200*time.Millisecond)
+	}
+}
--- a/internal/core/quota/doc.go
+++ b/internal/core/quota/doc.go
@@ -17,10 +17,17 @@
 // own static share. Both sides of a network partition thus stay within the
 // quota together.
 //
+// # Admission
+//
+// Near a limit a node doesn't know what its peers admit until their next reports. An [Admission]
+// divides what is left among all of them by urgency; [Returns] names the time at which a refused
+// request may come back.
+//
 // # Usage
 //
 //	b := quota.New(limit, level, now)
-//	if b.Available(now, share) >= cost {
+//	a := quota.Admission{Left: b.Available(now, share), Unreported: unreported}
+//	if a.Decide(rank, cost, rng.Float64()) == quota.VerdictAdmitted {
 //		b.Spend(now, cost, share)
 //	}
 //	b.Spend(now, peersCost, share)
