--- a/internal/core/gateway/effect.go
+++ b/internal/core/gateway/effect.go
@@ -187,6 +187,8 @@
 	CountExtra Counter = "gateway_extra_answers"
 	// CountLoad counts the loads that upstreams report.
 	CountLoad Counter = "gateway_load_reports"
+	// CountQuota counts refusals of requests beyond their team's quota, by team and cause.
+	CountQuota Counter = "gateway_quota_refusals"
 )
 
 // ExtraSkipped is the only label of CountExtra.
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -201,14 +201,25 @@
 
 // teamQuota is a team's quota with this node's spending.
 type teamQuota struct {
+	name   string
 	bucket *quota.Bucket
-	spent  float64
+	// returns schedules the requests refused here.
+	returns quota.Returns
+	// rate and burst are the team's quota, without a tolerance; tokens is set if they are in tokens.
+	rate, burst float64
+	tokens      bool
+	spent       float64
 	// published is the part of spent that has been sent to all peers.
 	published float64
 	// asked is the cost of all of the team's requests here, refused ones too.
-	asked float64
-	// demand averages asked, peerDemand what the peers report of theirs.
-	demand, peerDemand average.Rate
+	// requests is their number.
+	asked, requests float64
+	// demand averages asked by rank.
+	demand [quota.RankCount]average.Rate
+	// askedLately and admittedLately average what was asked and what of it was admitted.
+	askedLately, admittedLately average.Rate
+	// latest is what the latest decision was made from.
+	latest quota.Admission
 }
 
 // Reduce processes an event and returns the effects to execute.
@@ -331,6 +342,7 @@
 	g.continueAfterPauses()
 	g.dispatchQueues()
 	g.checkRollouts()
+	g.chargeSilence()
 	g.sendDueStatuses()
 	g.fetchConfig()
 	g.performDuties()
--- a/internal/core/gateway/quota.go
+++ b/internal/core/gateway/quota.go
@@ -19,8 +19,7 @@
 	return float64(r.team.DefaultTokens)
 }
 
-// takeQuota spends the request's cost, or returns the time until the quota
-// suffices.
+// takeQuota spends the request's cost, or returns the time after which to retry.
 func (g *Gateway) takeQuota(r *request) (wait time.Duration, ok bool) {
 	if r.team == nil || r.team.Rate <= 0 {
 		return 0, true
@@ -28,14 +27,17 @@
 	quotaShare := g.quotaShare()
 	q := g.teamQuota(r.team)
 	c := cost(r)
-	left := q.bucket.Available(g.now, quotaShare)
-	unreported := g.unreported(q, c)
-	q.asked += c
-	q.demand.Add(g.now, c)
-	if left < c || left-c < unreported*g.rng.Float64() {
-		g.logRequest(r, "quota", "quota spent", "cost", c, "left", left, "share", quotaShare,
-			"unheard", unreported, "rate", r.team.Rate, "burst", r.team.Burst)
-		return max(q.bucket.Wait(g.now, c, quotaShare), minRetryAfter), false
+	rank := quotaRank(r)
+	state := g.quotaAdmission(q, rank, c, quotaShare)
+	verdict := state.Decide(rank, c, g.rng.Float64())
+	q.latest = state.Admission
+	q.recordAsked(g.now, rank, c, verdict)
+	if verdict != quota.VerdictAdmitted {
+		g.countQuotaRefusal(r, verdict)
+		g.logRequest(r, "quota", "quota spent", "cost", c, "left", state.Left, "share", quotaShare,
+			"unheard", state.Unreported.Sum(), "reserved", state.Reserve(rank), "verdict", string(verdict),
+			"rate", r.team.Rate, "burst", r.team.Burst)
+		return g.quotaRetryAfter(r, q, state, quotaShare), false
 	}
 	q.bucket.Spend(g.now, c, quotaShare)
 	r.cost = c
@@ -47,32 +49,31 @@
 	return 0, true
 }
 
-// demandDecay is the time constant of the decay of a team's demand.
-const demandDecay = 500 * time.Millisecond
-
-// surgeRequests is the number of requests, of the size of the next one, that a team must have
-// sent to this node within demandDecay for the node to conclude from its own demand on that of
-// its peers. One or two arrive together by chance, and among many nodes each stands for many.
-const surgeRequests = 2
-
-// surgeFactor is the factor by which a node's own demand must exceed what its peers report to
-// count as a surge that they have not reported yet, and not as chance.
-const surgeFactor = 1.5
-
-// unreported estimates the units that the peers have spent since their latest statuses: what
-// they have reported that teams ask for lately, or if that is more, what this node is asked
-// for itself during a surge that has begun since. Near a limit they send a status on the tick
-// after interval/lowQuotaDivisor. If less than the estimate is left, takeQuota admits requests at
-// random, only as many as are likely to fit for all nodes together.
-func (g *Gateway) unreported(q *teamQuota, cost float64) float64 {
-	rate := q.peerDemand.PerSecond(g.now)
-	if own := q.demand.PerSecond(g.now); own*demandDecay.Seconds() >= surgeRequests*cost {
-		peers := float64(g.contactCount(silentIntervals) - 1)
-		if own*peers > surgeFactor*rate {
-			rate = own * peers
-		}
+const (
+	// callerPatience is the part of its remaining time for which a caller waits to repeat a request.
+	callerPatience = 1.0 / 3
+	// minRefillFraction is the least fraction of the refill that refused requests of a rank are
+	// assumed to get.
+	minRefillFraction = 0.05
+)
+
+// quotaRetryAfter returns the time after which a refused request may return: once the refill
+// covers it, the reserve of more urgent ones and those refused here before.
+func (g *Gateway) quotaRetryAfter(r *request, q *teamQuota, a quotaState, share float64) time.Duration {
+	rank, c := quotaRank(r), cost(r)
+	earliest := q.bucket.Wait(g.now, c+a.Reserve(rank), share)
+	refill := q.bucket.Limit().Rate * share
+	free := refill
+	for i := range rank {
+		free -= a.perSecond[i]
 	}
-	return rate * (g.interval()/lowQuotaDivisor + TickInterval).Seconds()
+	free = max(free, minRefillFraction*refill)
+	part := 1 / float64(g.contactCount(quotaSilentIntervals))
+	if a.perSecond[rank] > 0 {
+		part = max(part, a.own[rank]/a.perSecond[rank])
+	}
+	patience := time.Duration(callerPatience * float64(r.deadline.Sub(g.now)))
+	return q.returns.Schedule(g.now, rank, c, free*part, max(earliest, minRetryAfter), patience)
 }
 
 func (g *Gateway) teamQuota(team *route.Team) *teamQuota {
@@ -80,12 +81,17 @@
 	q := g.quotas[team.Name]
 	if q == nil {
 		q = &teamQuota{
-			bucket:     quota.New(limit, g.initialLevel(team, limit), g.now),
-			demand:     average.Rate{Decay: demandDecay},
-			peerDemand: average.Rate{Decay: demandDecay},
+			name:           team.Name,
+			bucket:         quota.New(limit, g.initialLevel(team, limit), g.now),
+			askedLately:    average.Rate{Decay: admittedPeriod},
+			admittedLately: average.Rate{Decay: admittedPeriod},
+		}
+		for rank := range q.demand {
+			q.demand[rank].Decay = demandDecay
 		}
 		g.quotas[team.Name] = q
 	}
+	q.rate, q.burst, q.tokens = team.Rate, team.Burst, team.Unit == route.UnitTokens
 	if q.bucket.Limit() != limit {
 		q.bucket.SetLimit(limit)
 	}
@@ -100,7 +106,7 @@
 	if g.cfg.FirstStart || g.now.Sub(g.started) > g.cfg.Bounds.QuotaWindow {
 		return limit.Burst
 	}
-	return restartFraction * (limit.Burst - team.Burst)
+	return restartFraction * (limit.Burst - team.Burst) * g.quotaShare()
 }
 
 // restartFraction is the fraction that a new process may spend at once of the
@@ -157,22 +163,26 @@
 const quotaSilentIntervals = 2
 
 // quotaShare returns the fraction of the quotas that belongs to the nodes in
-// contact: each silent node may spend its own part.
+// contact: each silent node may spend its own part. A process that has just started leaves their
+// parts to those of whose demand it knows nothing, too: all may have started with it.
 func (g *Gateway) quotaShare() float64 {
-	return float64(g.contactCount(quotaSilentIntervals)) / float64(len(g.members)+1)
+	count := 1
+	for _, m := range g.members {
+		if g.contactWithin(m, quotaSilentIntervals) && (m.demandKnown || !g.justRestarted()) {
+			count++
+		}
+	}
+	return float64(count) / float64(len(g.members)+1)
 }
 
-// deductQuota subtracts units that a peer has spent from a team's quota. The peer was asked for
-// as many, or more.
-func (g *Gateway) deductQuota(name string, units, asked, share float64) {
+// deductQuota subtracts units that a peer has spent from a team's quota.
+func (g *Gateway) deductQuota(name string, units, share float64) {
 	for i := range g.table.Teams() {
 		team := &g.table.Teams()[i]
 		if team.Name != name || team.Rate <= 0 {
 			continue
 		}
-		q := g.teamQuota(team)
-		q.bucket.Spend(g.now, units, share)
-		q.peerDemand.Add(g.now, max(asked, 0))
+		g.teamQuota(team).bucket.Spend(g.now, units, share)
 		return
 	}
 }
--- /dev/null
+++ b/internal/core/quota/admission.go
@@ -0,0 +1,93 @@
+package quota
+
+// RankCount is the number of ranks of urgency that are told apart.
+const RankCount = 10
+
+// Demand is what requests ask of a quota, in units by rank of urgency; rank 0 is the most urgent.
+type Demand [RankCount]float64
+
+// Sum returns the demand of all ranks.
+func (d Demand) Sum() float64 {
+	sum := 0.0
+	for _, units := range d {
+		sum += units
+	}
+	return sum
+}
+
+// Verdict is the decision on a request.
+type Verdict string
+
+// Verdicts.
+const (
+	VerdictAdmitted Verdict = "admitted"
+	// VerdictSpent: the quota is spent, as far as this node knows or expects.
+	VerdictSpent Verdict = "spent"
+	// VerdictReserved: what is left is reserved for more urgent requests of the team.
+	VerdictReserved Verdict = "reserved"
+)
+
+// Admission decides on requests of a team whose demand may be several times its quota and comes
+// to many nodes, which learn of each other's spending with a delay. A node can't know which
+// requests its peers admit meanwhile, but all can divide what is left alike: each rank gets the
+// part of it that the more urgent ones leave, and each of its requests the same chance,
+// whatever its size.
+type Admission struct {
+	// Left is the number of units left, without what peers have not reported yet.
+	Left float64
+	// Overdraft is the part of the tolerance that may be spent in place of what peers may have
+	// spent unreported. Debt is the part by which a single request may exceed that, and by which
+	// less urgent requests, admitted before peers reported theirs, don't count for more urgent ones.
+	Overdraft, Debt float64
+	// Usual is the mean cost of the team's requests.
+	Usual float64
+	// Unreported is what peers have probably been asked for since their latest reports.
+	Unreported Demand
+	// Expected is what all nodes are asked for within the time for which a reserve is kept.
+	Expected Demand
+}
+
+// minorFraction is the fraction of the usual cost up to which a request is admitted while anything is
+// left: refusing it would save next to nothing for others.
+const minorFraction = 0.1
+
+// Need returns what requests of a rank need until the others' spending is known.
+func (a Admission) Need(rank int) float64 { return max(a.Unreported[rank], a.Expected[rank]) }
+
+// Reserve returns the number of units reserved for requests that are more urgent than a rank.
+func (a Admission) Reserve(rank int) float64 {
+	sum := 0.0
+	for i := range rank {
+		sum += a.Need(i)
+	}
+	return sum
+}
+
+// credit returns the part of Debt that is used for what less urgent requests have just spent.
+func (a Admission) credit(rank int) float64 {
+	sum := 0.0
+	for i := rank + 1; i < RankCount; i++ {
+		sum += a.Need(i)
+	}
+	return min(sum, a.Debt)
+}
+
+// Decide decides on a request. The draw is a random number from 0 to 1.
+func (a Admission) Decide(rank int, cost, draw float64) Verdict {
+	left := a.Left + a.Overdraft + a.credit(rank)
+	if left <= 0 || a.Left+a.Overdraft+a.Debt < cost {
+		return VerdictSpent
+	}
+	if cost <= minorFraction*a.Usual {
+		return VerdictAdmitted
+	}
+	room := left - a.Reserve(rank)
+	switch {
+	case room > draw*a.Unreported[rank]:
+		return VerdictAdmitted
+	case left > draw*a.Unreported[rank]:
+		return VerdictReserved
+	default:
+		return VerdictSpent
+	}
+}
