gateway: moves from draining engines are named after what they do

"evacuate" named the moves of runs from one draining engine; the platform's word for emptying an availability zone is the same. No change of behaviour.

--- a/internal/core/gateway/attempt.go
+++ b/internal/core/gateway/attempt.go
@@ -35,7 +35,7 @@
 	g.logRequest(r, "begin", "answer began", "upstream", r.upstream.ID, "attempt", r.attempt,
 		"age_ms", g.now.Sub(r.arrived).Milliseconds())
 	if u, ok := g.upstreams.Get(r.upstream.ID); ok {
-		g.evacuate(u)
+		g.moveRuns(u)
 	}
 	g.dispatchQueue(g.queue(r.service))
 }
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -103,9 +103,9 @@
 	heldGeneration       int64
 	// drainingSince holds when each draining upstream was first seen draining.
 	drainingSince map[string]time.Time
-	// evacuateLater holds the draining engines whose streams could not be moved because of
+	// moveLater holds the draining engines whose streams could not be moved because of
 	// pauses, theirs or others'.
-	evacuateLater map[string]bool
+	moveLater map[string]bool
 
 	leaves leaves
 	paths  paths
@@ -165,7 +165,7 @@
 		relaysAt:      make(map[string]int),
 		spread:        configSpread{receivers: make(map[string]time.Time)},
 		drainingSince: make(map[string]time.Time),
-		evacuateLater: make(map[string]bool),
+		moveLater:     make(map[string]bool),
 		leaves:        make(leaves),
 		paths:         paths{failed: make(map[string]failedUpstream), reached: make(map[uint64]time.Time)},
 		requests:      make(map[uint64]*request),
--- a/internal/core/gateway/leaving.go
+++ b/internal/core/gateway/leaving.go
@@ -29,7 +29,7 @@
 		u = g.asLeaving(u)
 		g.upstreams.Put(u)
 		g.trackDraining(u)
-		g.evacuate(u)
+		g.moveRuns(u)
 	}
 }
 
--- a/internal/core/gateway/move.go
+++ b/internal/core/gateway/move.go
@@ -58,14 +58,14 @@
 	}
 }
 
-// evacuate moves the streams at a draining engine that would not end in time.
+// moveRuns moves the streams at a draining engine that would not end in time.
 // Those that cannot be resumed otherwise go first.
-func (g *Gateway) evacuate(source placement.Upstream) {
+func (g *Gateway) moveRuns(source placement.Upstream) {
 	if source.State != placement.StateDraining || !g.canCopyCache(source) {
 		return
 	}
 	if !g.upstreams.Admits(g.now, source) {
-		g.evacuateLater[source.ID] = true
+		g.moveLater[source.ID] = true
 		return
 	}
 	openMoves := 0
@@ -127,7 +127,7 @@
 	target, ok := g.upstreams.Pick(g.now, query)
 	if !ok {
 		if g.upstreams.CountPaused(g.now, r.service) > 0 {
-			g.evacuateLater[source.ID] = true
+			g.moveLater[source.ID] = true
 		}
 		return false
 	}
@@ -171,7 +171,7 @@
 	default:
 		r.move.moved = &e
 	}
-	g.evacuate(source)
+	g.moveRuns(source)
 }
 
 // endedInMove processes the end of a stream that is being moved. It returns
@@ -236,10 +236,10 @@
 
 // continueAfterPauses moves runs and continues stopped ones whose upstreams' pauses are over.
 func (g *Gateway) continueAfterPauses() {
-	for _, id := range slices.Sorted(maps.Keys(g.evacuateLater)) {
-		delete(g.evacuateLater, id)
+	for _, id := range slices.Sorted(maps.Keys(g.moveLater)) {
+		delete(g.moveLater, id)
 		if u, known := g.upstreams.Get(id); known {
-			g.evacuate(u)
+			g.moveRuns(u)
 		}
 	}
 	var stopped []*request
--- a/internal/core/gateway/platform.go
+++ b/internal/core/gateway/platform.go
@@ -176,7 +176,7 @@
 	}
 	g.upstreams.Put(u)
 	g.trackDraining(u)
-	g.evacuate(u)
+	g.moveRuns(u)
 }
 
 // removeUpstream removes an upstream and records it in the delta. While the
