evacuation, gateway, platform: availability zones are evacuated by the operator's order

Objects of kind evacuations, named by a zone, ask that nothing more is sent to the zone's upstreams until they are removed. Nothing read them.

Each node obeys what it or a peer has read last: package evacuation keeps, by zone, the mark at the latest revision of the store. Two nodes watch the kind, one in 1.2 s lists it, statuses carry the marks (field 37), and the node that reads a change sends one at once. placement.Set.Admits, which every way to an upstream asks, refuses the zone; Count, Usable, Resumes, the preferred engine and the reserved ones leave it out. A request without another upstream is refused at once as `evacuated`. Running requests go on to their end. The fleet is sized for the zones that are left; nothing is ordered in the zone, and nothing released for 30 s after its return. A process that starts sends nothing before it has read the orders. After a restore of the store without the order the zone stays evacuated for ten minutes, or until it is written and removed again.

Only deployments whose settings have bounds.evacuation make the calls.

Fixed on the way, by TestObservationsInAnyOrder: a peer's report of before a list that lacks the zone set it back.

Tests have a row for each of waysToUpstreams.

--- a/internal/core/fleet/plan.go
+++ b/internal/core/fleet/plan.go
@@ -45,9 +45,11 @@
 
 // Planner plans the fleet of one service.
 type Planner struct {
-	service   string
-	scaling   route.Scaling
-	zones     []string
+	service string
+	scaling route.Scaling
+	zones   []string
+	// known holds all zones, evacuated ones too.
+	known     map[string]bool
 	orders    map[segment]*orderState
 	orderOpen bool
 	demand    demand
@@ -66,6 +68,7 @@
 		scaling:    scaling,
 		orders:     make(map[segment]*orderState),
 		shortageAt: make(map[string]time.Time),
+		known:      make(map[string]bool),
 	}
 }
 
@@ -79,24 +82,22 @@
 	return defaultPrice
 }
 
-// updateZones adds the zones that have a price or an upstream and sorts all
-// zones by price, the cheapest first.
+// updateZones adds the zones that have a price or an upstream and sorts those that aren't
+// evacuated by price, the cheapest first.
 func (p *Planner) updateZones(v View) {
-	known := make(map[string]bool)
 	for zone := range p.scaling.ZonePrices {
-		known[zone] = true
+		p.known[zone] = true
 	}
 	for _, u := range v.Upstreams {
 		if u.Service == p.service {
-			known[u.Zone] = true
+			p.known[u.Zone] = true
 		}
 	}
-	for _, zone := range p.zones {
-		known[zone] = true
-	}
 	p.zones = p.zones[:0]
-	for zone := range known {
-		p.zones = append(p.zones, zone)
+	for zone := range p.known {
+		if !slices.Contains(v.Evacuated, zone) {
+			p.zones = append(p.zones, zone)
+		}
 	}
 	slices.SortFunc(p.zones, func(a, b string) int {
 		return cmp.Or(cmp.Compare(p.price(a), p.price(b)), strings.Compare(a, b))
--- a/internal/core/fleet/plan_test.go
+++ b/internal/core/fleet/plan_test.go
@@ -32,6 +32,9 @@
 	max      int
 	orders   []Order
 	next     int
+	// evacuated and keepAll are those of the views.
+	evacuated []string
+	keepAll   bool
 }
 
 func newCloud(onDemand int) *cloud { return newLargeCloud(onDemand, scaling().Max) }
@@ -89,7 +92,7 @@
 // run plans the fleet for a duration at a level of work and applies the orders.
 func (c *cloud) run(d time.Duration, work float64) {
 	for end := c.now.Add(d); c.now.Before(end); c.now = c.now.Add(100 * time.Millisecond) {
-		order, ok := c.planner.Next(c.now, View{Upstreams: c.visible(), BusyEngines: work})
+		order, ok := c.planner.Next(c.now, View{Upstreams: c.visible(), BusyEngines: work, Evacuated: c.evacuated, KeepAll: c.keepAll})
 		if !ok {
 			continue
 		}
--- a/internal/core/fleet/view.go
+++ b/internal/core/fleet/view.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "monsoonlanding/internal/core/placement"
+import (
+	"slices"
+
+	"monsoonlanding/internal/core/placement"
+)
 
 // View is the state of a service for which its fleet is planned.
 type View struct {
@@ -8,6 +12,9 @@
 	// BusyEngines is the engine time that the requests take per unit of time, as a
 	// number of fully used engines.
 	BusyEngines float64
+	// Evacuated holds the zones whose upstreams get no requests. They are no capacity, and none
+	// are ordered or released there.
+	Evacuated []string
 	// KeepAll reports whether no upstream may be released, because a rollout runs
 	// two versions side by side.
 	KeepAll bool
@@ -22,11 +29,11 @@
 // counts holds a number of upstreams by segment.
 type counts map[segment]int
 
-// count returns the number of the service's ready upstreams by segment.
+// count returns the number of the service's ready upstreams by segment, outside evacuated zones.
 func (p *Planner) count(v View) counts {
 	c := make(counts)
 	for _, u := range v.Upstreams {
-		if u.Service == p.service && u.State == placement.StateReady {
+		if u.Service == p.service && u.State == placement.StateReady && !slices.Contains(v.Evacuated, u.Zone) {
 			c[segment{zone: u.Zone, reclaimable: u.Reclaimable}]++
 		}
 	}
--- a/internal/core/gateway/effect.go
+++ b/internal/core/gateway/effect.go
@@ -160,9 +160,10 @@
 
 // Feeds of the store.
 const (
-	FeedConfig    FeedName = "config"
-	FeedUpstreams FeedName = "upstreams"
-	FeedRollouts  FeedName = "rollouts"
+	FeedConfig      FeedName = "config"
+	FeedUpstreams   FeedName = "upstreams"
+	FeedRollouts    FeedName = "rollouts"
+	FeedEvacuations FeedName = "evacuations"
 )
 
 // Count increments a counter by one.
@@ -258,13 +259,16 @@
 
 // Reasons for refusing or aborting a request.
 const (
-	// ReasonNoConfig: the node has no configuration yet.
+	// ReasonNoConfig: the node has no configuration yet, or has not read the evacuations.
 	ReasonNoConfig Reason = "no_config"
 	ReasonNoRoute  Reason = "no_route"
 	ReasonBadKey   Reason = "bad_key"
 	ReasonQuota    Reason = "quota"
 	// ReasonNoUpstream: no upstream of the service accepts new requests.
 	ReasonNoUpstream Reason = "no_upstream"
+	// ReasonEvacuated: all upstreams of the service that accept new requests are in evacuated
+	// availability zones.
+	ReasonEvacuated Reason = "evacuated"
 	// ReasonOverload: the request could not begin in time.
 	ReasonOverload Reason = "overload"
 	// ReasonPaused: all upstreams of the service have asked for pauses.
@@ -291,7 +295,7 @@
 // Reasons lists all reasons, so that each has a counter from the start.
 func Reasons() []Reason {
 	return []Reason{
-		ReasonNoConfig, ReasonNoRoute, ReasonBadKey, ReasonQuota, ReasonNoUpstream,
+		ReasonNoConfig, ReasonNoRoute, ReasonBadKey, ReasonQuota, ReasonNoUpstream, ReasonEvacuated,
 		ReasonOverload, ReasonPaused, ReasonStopping, ReasonNotRun, ReasonTimeout, ReasonSuspect,
 		ReasonDeadlineExceeded, ReasonFailed, ReasonBadRequest, ReasonTooLarge,
 	}
--- a/internal/core/gateway/event.go
+++ b/internal/core/gateway/event.go
@@ -176,6 +176,19 @@
 	Revision store.Revision
 }
 
+// EvacuationsListed is the complete list of the availability zones that the operator has
+// evacuated, at a revision of the store.
+type EvacuationsListed struct {
+	Zones    []string
+	Revision store.Revision
+}
+
+// EvacuationsChanged has the zones that were evacuated and taken back up to a revision.
+type EvacuationsChanged struct {
+	Put, Removed []string
+	Revision     store.Revision
+}
+
 // RolloutsChanged reports the rollouts that were ordered, changed or removed.
 type RolloutsChanged struct {
 	Orders []rollout.Order
@@ -262,34 +275,36 @@
 // Stop requests a graceful shutdown.
 type Stop struct{}
 
-func (Tick) event()              {}
-func (Arrived) event()           {}
-func (Began) event()             {}
-func (Paced) event()             {}
-func (Ended) event()             {}
-func (Moved) event()             {}
-func (AnswerDropped) event()     {}
-func (Expired) event()           {}
-func (HandlerEnded) event()      {}
-func (ConfigRead) event()        {}
-func (UpstreamProbed) event()    {}
-func (ConfigPacked) event()      {}
-func (ConfigInvalid) event()     {}
-func (UpstreamsListed) event()   {}
-func (UpstreamsChanged) event()  {}
-func (RolloutsChanged) event()   {}
-func (RolloutWritten) event()    {}
-func (SettingsChanged) event()   {}
-func (StoreGeneration) event()   {}
-func (StoreLost) event()         {}
-func (StoreRegained) event()     {}
-func (NodesListed) event()       {}
-func (PeerReceived) event()      {}
-func (PeerUnreachable) event()   {}
-func (LeaseRead) event()         {}
-func (LeaseWritten) event()      {}
-func (UsageReported) event()     {}
-func (FleetOrdered) event()      {}
-func (QuarantineRead) event()    {}
-func (QuarantineWritten) event() {}
-func (Stop) event()              {}
+func (Tick) event()               {}
+func (Arrived) event()            {}
+func (Began) event()              {}
+func (Paced) event()              {}
+func (Ended) event()              {}
+func (Moved) event()              {}
+func (AnswerDropped) event()      {}
+func (Expired) event()            {}
+func (HandlerEnded) event()       {}
+func (ConfigRead) event()         {}
+func (UpstreamProbed) event()     {}
+func (ConfigPacked) event()       {}
+func (ConfigInvalid) event()      {}
+func (UpstreamsListed) event()    {}
+func (UpstreamsChanged) event()   {}
+func (EvacuationsListed) event()  {}
+func (EvacuationsChanged) event() {}
+func (RolloutsChanged) event()    {}
+func (RolloutWritten) event()     {}
+func (SettingsChanged) event()    {}
+func (StoreGeneration) event()    {}
+func (StoreLost) event()          {}
+func (StoreRegained) event()      {}
+func (NodesListed) event()        {}
+func (PeerReceived) event()       {}
+func (PeerUnreachable) event()    {}
+func (LeaseRead) event()          {}
+func (LeaseWritten) event()       {}
+func (UsageReported) event()      {}
+func (FleetOrdered) event()       {}
+func (QuarantineRead) event()     {}
+func (QuarantineWritten) event()  {}
+func (Stop) event()               {}
--- a/internal/core/gateway/fleet.go
+++ b/internal/core/gateway/fleet.go
@@ -18,6 +18,9 @@
 	// before it orders upstreams. At first it knows neither the load nor its
 	// peers.
 	fleetStartDelay = 1500 * time.Millisecond
+	// returnCooldown is the duration after a zone was taken back in which no upstream is
+	// released: those of the zone may have to warm up.
+	returnCooldown = 30 * time.Second
 )
 
 // addWork counts the work of a request that has arrived, whether or not an
@@ -76,7 +79,10 @@
 }
 
 func (g *Gateway) orderUpstreams(p *fleet.Planner, service string) {
-	view := fleet.View{Upstreams: g.upstreams.All(), BusyEngines: g.totalWork(service), KeepAll: g.rollingOut(service)}
+	view := fleet.View{
+		Upstreams: g.upstreams.All(), BusyEngines: g.totalWork(service), Evacuated: g.evacuations.Zones(),
+		KeepAll: g.rollingOut(service) || g.zoneReturned(),
+	}
 	if !p.HasOrder(g.now, view) {
 		return
 	}
@@ -102,6 +108,11 @@
 	return r != nil && (r.order.Open() || g.now.Sub(r.endedAt) < rolloutCooldown)
 }
 
+// zoneReturned reports whether a zone was taken back within returnCooldown.
+func (g *Gateway) zoneReturned() bool {
+	return !g.zoneReturnedAt.IsZero() && g.now.Sub(g.zoneReturnedAt) < returnCooldown
+}
+
 func (g *Gateway) fleetOrdered(e FleetOrdered) {
 	g.count(CountDuty, "fleet_"+string(e.Outcome))
 	if p := g.planners[e.Order.Service]; p != nil {
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"monsoonlanding/internal/core/average"
+	"monsoonlanding/internal/core/evacuation"
 	"monsoonlanding/internal/core/fleet"
 	"monsoonlanding/internal/core/leader"
 	"monsoonlanding/internal/core/placement"
@@ -35,6 +36,9 @@
 	// known.
 	Seeds  []string
 	Bounds Bounds
+	// Evacuates is set if the deployment's operators evacuate availability zones: the process
+	// sends nothing before it has read which ones.
+	Evacuates bool
 	// Cost ranks the upstreams; nil means placement.LeastTime.
 	Cost placement.Cost
 }
@@ -107,6 +111,10 @@
 	// pauses, theirs or others'.
 	moveLater map[string]bool
 
+	evacuations *evacuation.Register
+	// zoneReturnedAt is when the latest zone was taken back, zero if none was.
+	zoneReturnedAt time.Time
+
 	leaves leaves
 	paths  paths
 	// relaysAt counts the requests that are passed on, by the node that has them.
@@ -166,6 +174,7 @@
 		spread:        configSpread{receivers: make(map[string]time.Time)},
 		drainingSince: make(map[string]time.Time),
 		moveLater:     make(map[string]bool),
+		evacuations:   evacuation.New(),
 		leaves:        make(leaves),
 		paths:         paths{failed: make(map[string]failedUpstream), reached: make(map[uint64]time.Time)},
 		requests:      make(map[uint64]*request),
@@ -270,6 +279,10 @@
 		g.usageReported(e)
 	case FleetOrdered:
 		g.fleetOrdered(e)
+	case EvacuationsListed:
+		g.evacuationsListed(e)
+	case EvacuationsChanged:
+		g.evacuationsChanged(e)
 	case RolloutsChanged:
 		g.rolloutsChanged(e)
 	case RolloutWritten:
@@ -328,6 +341,7 @@
 	g.pruneAt = g.now.Add(pruneInterval)
 	g.upstreams.Expire(g.now)
 	g.quarantine.Prune(g.now)
+	g.expireEvacuations()
 	g.pruneLeaves()
 	g.pruneDeparted()
 	g.prunePaths()
@@ -335,7 +349,7 @@
 
 // Ready reports whether the node accepts new callers.
 func (g *Gateway) Ready() bool {
-	return g.table.Version() > 0 && g.upstreamsRead && g.rolloutsRead && !g.stopping
+	return g.table.Version() > 0 && g.upstreamsRead && g.rolloutsRead && g.evacuationsKnown() && !g.stopping
 }
 
 // Stopping reports whether the node is shutting down.
--- a/internal/core/gateway/helper_test.go
+++ b/internal/core/gateway/helper_test.go
@@ -27,6 +27,8 @@
 	conn uint64
 	// revision is the store's revision; it grows with each change of the list.
 	revision store.Revision
+	// zones holds the zones of upstreams that are in another one than up gives them.
+	zones map[string]string
 }
 
 func testBounds() Bounds {
@@ -75,9 +77,20 @@
 
 func (b *bench) list(upstreams ...placement.Upstream) []Effect {
 	b.revision.Number++
+	for i, u := range upstreams {
+		upstreams[i] = b.placed(u)
+	}
 	return b.reduce(UpstreamsListed{List: upstreams, Revision: b.revision})
 }
 
+// placed returns an upstream in its zone of the bench.
+func (b *bench) placed(u placement.Upstream) placement.Upstream {
+	if zone, ok := b.zones[u.ID]; ok {
+		u.Zone = zone
+	}
+	return u
+}
+
 func up(id, service string) placement.Upstream {
 	return placement.Upstream{ID: id, Service: service, Address: id + ":80", Zone: "z1", Slots: 6, State: placement.StateReady}
 }
--- a/internal/core/gateway/move.go
+++ b/internal/core/gateway/move.go
@@ -64,6 +64,9 @@
 	if source.State != placement.StateDraining || !g.canCopyCache(source) {
 		return
 	}
+	if g.isEvacuated(source) {
+		return
+	}
 	if !g.upstreams.Admits(g.now, source) {
 		g.moveLater[source.ID] = true
 		return
@@ -219,13 +222,14 @@
 
 // continueRun continues a stopped run. If the upstream has asked for a pause, a stream that can
 // be resumed elsewhere is; another one waits for the end of the pause if it may be served then.
+// None waits for an evacuated zone, which may be so for hours.
 func (g *Gateway) continueRun(r *request, run stoppedRun) {
 	left := g.upstreams.PauseLeft(g.now, run.upstream)
 	switch {
-	case left == 0:
+	case g.upstreams.Admits(g.now, run.upstream):
 		r.stopped = nil
 		g.dispatchTo(r, run.upstream, run.from)
-	case r.route.Retryable() || !g.now.Add(left).Before(r.deadline):
+	case r.route.Retryable() || g.isEvacuated(run.upstream) || !g.now.Add(left).Before(r.deadline):
 		r.stopped = nil
 		g.afterRun(r, run.ended)
 	default:
@@ -250,7 +254,7 @@
 	}
 	slices.SortFunc(stopped, byArrival)
 	for _, r := range stopped {
-		if g.upstreams.Admits(g.now, r.stopped.upstream) {
+		if g.upstreams.Admits(g.now, r.stopped.upstream) || g.isEvacuated(r.stopped.upstream) {
 			g.continueRun(r, *r.stopped)
 		}
 	}
--- a/internal/core/gateway/move_test.go
+++ b/internal/core/gateway/move_test.go
@@ -22,7 +22,7 @@
 
 // reclaim reports that an upstream drains and stops after the notice period.
 func (b *bench) reclaim(id string, notice time.Duration) []Effect {
-	u := up(id, "model")
+	u := b.placed(up(id, "model"))
 	u.State, u.Reclaimable, u.StopsAt = placement.StateDraining, true, b.now.Add(notice)
 	b.revision.Number++
 	return b.reduce(UpstreamsChanged{Put: []placement.Upstream{u}, Revision: b.revision})
--- a/internal/core/gateway/paths.go
+++ b/internal/core/gateway/paths.go
@@ -140,10 +140,11 @@
 }
 
 // pathsFail reports whether connections have failed in a row to enough upstreams, and peers
-// reach enough of these, in more than one zone if the upstreams are in several.
+// reach enough of these, in more than one zone if the upstreams are in several. Evacuated zones
+// get no probes and don't count.
 func (g *Gateway) pathsFail() bool {
 	var listed, failed, confirmed []placement.Upstream
-	for _, u := range g.upstreams.All() {
+	for _, u := range g.capacity() {
 		listed = append(listed, u)
 		f, ok := g.paths.failed[u.ID]
 		if ok {
--- a/internal/core/gateway/pause.go
+++ b/internal/core/gateway/pause.go
@@ -46,4 +46,6 @@
 
 // Admits reports whether an upstream takes requests from this node at a time: it may have asked
 // for a pause since a request to it was dispatched.
-func (g *Gateway) Admits(now time.Time, u placement.Upstream) bool { return g.upstreams.Admits(now, u) }
+func (g *Gateway) Admits(now time.Time, u placement.Upstream) bool {
+	return g.evacuationsKnown() && g.upstreams.Admits(now, u)
+}
--- a/internal/core/gateway/queue.go
+++ b/internal/core/gateway/queue.go
@@ -23,6 +23,8 @@
 	retryAfterJitter = 0.5
 	// minRetryAfter is the minimum retry delay given to a refused caller.
 	minRetryAfter = 300 * time.Millisecond
+	// noUpstreamRetryAfter is the retry delay while no upstream accepts new requests.
+	noUpstreamRetryAfter = time.Second
 )
 
 // serviceQueue holds a service's waiting requests by rank.
@@ -59,7 +61,7 @@
 		return
 	}
 	if g.upstreams.Count(r.service) == 0 {
-		g.refuse(r, ReasonNoUpstream, g.retryAfter(time.Second))
+		g.refuseWithoutUpstream(r)
 		return
 	}
 	if g.isRefusedForPauses(r) {
--- a/internal/core/gateway/relay.go
+++ b/internal/core/gateway/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"monsoonlanding/internal/core/placement"
 )
@@ -189,7 +188,7 @@
 // quota there. A node without paths refuses it at once.
 func (g *Gateway) arrivedRelayed(r *request) {
 	if g.paths.lost {
-		g.refuseNew(r, ReasonNoUpstream, g.retryAfter(time.Second))
+		g.refuseNew(r, ReasonNoUpstream, g.retryAfter(noUpstreamRetryAfter))
 		return
 	}
 	g.requests[r.conn] = r
--- a/internal/core/gateway/request.go
+++ b/internal/core/gateway/request.go
@@ -157,7 +157,7 @@
 // match sets the request's route, team and service. It returns the reason to
 // refuse the request, empty if there is none.
 func (g *Gateway) match(r *request) Reason {
-	if g.table.Version() == 0 {
+	if g.table.Version() == 0 || !g.evacuationsKnown() {
 		return ReasonNoConfig
 	}
 	found, ok := g.table.Match(r.req.Host, r.req.Path)
--- a/internal/core/gateway/restored.go
+++ b/internal/core/gateway/restored.go
@@ -51,6 +51,9 @@
 	g.emit(ListFeed{Feed: FeedUpstreams})
 	g.emit(ListFeed{Feed: FeedConfig})
 	g.emit(ListFeed{Feed: FeedRollouts})
+	if g.cfg.Evacuates {
+		g.emit(ListFeed{Feed: FeedEvacuations})
+	}
 	g.scheduleBroadcast(0)
 	g.sendDueStatuses()
 }
--- a/internal/core/gateway/state.go
+++ b/internal/core/gateway/state.go
@@ -16,6 +16,9 @@
 	LeaseHeld  bool                    `json:"lease_held"`
 	LeaseToken int64                   `json:"lease_token"`
 	Services   map[string]ServiceState `json:"services"`
+	// EvacuatedZones counts the availability zones to whose upstreams nothing is sent, those
+	// without upstreams too.
+	EvacuatedZones int `json:"evacuated_zones"`
 	// QuotaLeft is the number of units that each team served here may spend at
 	// once.
 	QuotaLeft map[string]float64 `json:"quota_left"`
@@ -27,6 +30,8 @@
 // ServiceState is a snapshot of a service.
 type ServiceState struct {
 	Upstreams int `json:"upstreams"`
+	// Evacuated is the number of further ones in evacuated availability zones.
+	Evacuated int `json:"evacuated"`
 	// Paused is the number of upstreams that have asked this node for a pause.
 	Paused  int `json:"paused"`
 	Waiting int `json:"waiting"`
@@ -48,6 +53,7 @@
 		LeaseHeld:      g.lease.Held(),
 		LeaseToken:     g.lease.FencingToken(),
 		Services:       make(map[string]ServiceState),
+		EvacuatedZones: len(g.evacuations.Zones()),
 		QuotaLeft:      make(map[string]float64),
 		Quarantined:    g.quarantine.Quarantined(),
 	}
@@ -61,7 +67,7 @@
 }
 
 func (g *Gateway) serviceState(service string) ServiceState {
-	s := ServiceState{Upstreams: g.upstreams.Count(service), Paused: g.upstreams.CountPaused(g.now, service)}
+	s := ServiceState{Upstreams: g.upstreams.Count(service), Evacuated: g.upstreams.CountEvacuated(service), Paused: g.upstreams.CountPaused(g.now, service)}
 	for _, r := range g.requests {
 		switch {
 		case r.service != service:
--- a/internal/core/gateway/status.go
+++ b/internal/core/gateway/status.go
@@ -48,6 +48,7 @@
 		Unreached:         g.unreached(),
 		Reached:           g.reachedForPeers(),
 		Reaches:           g.reaches(),
+		Evacuations:       g.evacuations.Report(),
 	}
 	if g.lease.Claims(g.now) {
 		s.LeaseToken = g.lease.FencingToken()
@@ -163,6 +164,7 @@
 		g.lease.NoteReport(leader.Report{Window: s.Report.Window, Counts: s.Report.Counts, Accepted: s.Report.Accepted})
 	}
 	g.mergeRollouts(s)
+	g.mergeEvacuations(s)
 	g.usage.setOffset(s.Node, s.Time.Sub(g.now))
 	for _, k := range s.KnownNodes {
 		if k.Node != g.cfg.Node && g.members[k.Node] == nil {
--- a/internal/core/gateway/turn.go
+++ b/internal/core/gateway/turn.go
@@ -9,6 +9,10 @@
 const (
 	// readInterval is the interval between two reads of the store by any nodes.
 	readInterval = 600 * time.Millisecond
+	// evacuationsInterval is the same for the evacuations. Watches bring changes at once; the
+	// lists find those that a watch has missed, with time for some that fail before an
+	// evacuation must be in force.
+	evacuationsInterval = 1200 * time.Millisecond
 	// watchers is the number of nodes that watch the store; more than one,
 	// because a node may be cut off from the store.
 	watchers = 2
@@ -30,7 +34,17 @@
 // as well: the nodes that are in contact and reach the store take turns, so
 // that one of them reads per readInterval. Their order is by hash of their
 // names and not by zone, because the nodes of a zone fail together.
-func (g *Gateway) Turn(now time.Time) Turn {
+func (g *Gateway) Turn(now time.Time) Turn { return g.turnEvery(now, readInterval) }
+
+// FeedTurn returns this node's next turn to read a feed.
+func (g *Gateway) FeedTurn(now time.Time, feed FeedName) Turn {
+	if feed == FeedEvacuations {
+		return g.turnEvery(now, evacuationsInterval)
+	}
+	return g.Turn(now)
+}
+
+func (g *Gateway) turnEvery(now time.Time, interval time.Duration) Turn {
 	inContact, before := 1, 0
 	own := xxhash.Sum64String(g.cfg.Node)
 	for _, m := range g.members {
@@ -42,8 +56,8 @@
 			before++
 		}
 	}
-	period := time.Duration(inContact) * readInterval
-	turn := time.Duration(before) * readInterval
+	period := time.Duration(inContact) * interval
+	turn := time.Duration(before) * interval
 	wait := (turn - time.Duration(now.UnixNano())%period + period) % period
 	if wait < minReadWait {
 		wait += period
--- a/internal/core/peer/status.go
+++ b/internal/core/peer/status.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"monsoonlanding/internal/core/evacuation"
 	"monsoonlanding/internal/core/placement"
 	"monsoonlanding/internal/core/quarantine"
 	"monsoonlanding/internal/core/store"
@@ -79,6 +80,8 @@
 	// Leaving holds the processes of upstreams that have said in an answer that they leave,
 	// as quarantine.ProcessID identifies them.
 	Leaving []uint64 `cbor:"22,keyasint,omitempty"`
+	// Evacuations holds what the sender knows of the evacuated availability zones.
+	Evacuations []evacuation.Mark `cbor:"37,keyasint,omitempty"`
 	// EngineLoad is the engine time that the sender's requests require, per service.
 	EngineLoad []ServiceEngineLoad `cbor:"16,keyasint,omitempty"`
 }
--- a/internal/core/placement/doc.go
+++ b/internal/core/placement/doc.go
@@ -29,6 +29,7 @@
 // ends, nothing of this node goes there, also if all others are ejected. Pick keeps to that;
 // whoever sends without Pick asks Admits. A pause belongs to the process that asked for it. After
 // it one request is on trial, until an answer to it shows that the upstream takes requests.
+// Upstreams in evacuated availability zones get nothing in the same way.
 //
 // # Speed
 //
--- a/internal/core/placement/pause.go
+++ b/internal/core/placement/pause.go
@@ -53,11 +53,10 @@
 	return max(p.until.Sub(now), 0)
 }
 
-// Admits reports whether the process of an upstream takes requests from this node now. Every way
-// to an upstream asks it, also without Pick.
+// Admits reports whether the process of an upstream takes requests from this node now: it has asked
+// for no pause, and its zone isn't evacuated. Every way to an upstream asks it, also without Pick.
 func (s *Set) Admits(now time.Time, u Upstream) bool {
-	p := s.pauses[processOf(u)]
-	return p == nil || !now.Before(p.until)
+	return !s.evacuated[u.Zone] && s.PauseLeft(now, u) == 0
 }
 
 // onTrial reports whether an upstream's pause is over and another request is on trial there.
@@ -99,7 +98,7 @@
 func (s *Set) Resumes(now time.Time, service, notVersion string) time.Duration {
 	var first time.Duration
 	for _, m := range s.sorted {
-		if m.Service != service || m.State != StateReady || notVersion != "" && m.Version == notVersion {
+		if m.Service != service || m.State != StateReady || s.evacuated[m.Zone] || notVersion != "" && m.Version == notVersion {
 			continue
 		}
 		left := s.PauseLeft(now, m.Upstream)
@@ -117,7 +116,7 @@
 func (s *Set) CountPaused(now time.Time, service string) int {
 	n := 0
 	for _, m := range s.sorted {
-		if m.Service == service && !s.Admits(now, m.Upstream) {
+		if m.Service == service && s.PauseLeft(now, m.Upstream) > 0 {
 			n++
 		}
 	}
--- a/internal/core/placement/pick.go
+++ b/internal/core/placement/pick.go
@@ -83,7 +83,7 @@
 	}
 	var hashes []uint64
 	for _, m := range s.sorted {
-		if m.Service == q.Service && m.State == StateReady {
+		if m.Service == q.Service && m.State == StateReady && !s.evacuated[m.Zone] {
 			hashes = append(hashes, m.hash)
 		}
 	}
@@ -158,7 +158,7 @@
 
 // preferred returns the ID of the upstream that all nodes prefer for the
 // prompt's shared part: the one with the highest rendezvous hash of those without
-// a limit.
+// a limit in zones that aren't evacuated.
 func (s *Set) preferred(q Query) string {
 	part, ok := q.Prompt.lastSharedPart()
 	if !ok {
@@ -166,7 +166,7 @@
 	}
 	best, highest := "", uint64(0)
 	for _, m := range s.sorted {
-		if m.Service != q.Service || m.State != StateReady || m.limiter.limit.Named {
+		if m.Service != q.Service || m.State != StateReady || s.evacuated[m.Zone] || m.limiter.limit.Named {
 			continue
 		}
 		if h := xxhash.Sum64String(part.ID + "/" + m.ID); best == "" || h > highest {
--- a/internal/core/placement/set.go
+++ b/internal/core/placement/set.go
@@ -62,6 +62,8 @@
 	// pauses holds the pauses that processes of upstreams have asked for. One outlasts an entry
 	// that is missing from the list for a while.
 	pauses map[process]*pause
+	// evacuated holds the availability zones to which nothing may be sent.
+	evacuated map[string]bool
 	// estimators holds the speed estimator of each service's engines.
 	estimators map[string]*speedEstimator
 }
@@ -153,11 +155,12 @@
 	}
 }
 
-// Count returns the number of upstreams of a service that accept new requests.
+// Count returns the number of upstreams of a service that accept new requests, those in evacuated
+// zones aside.
 func (s *Set) Count(service string) int {
 	n := 0
 	for _, m := range s.members {
-		if m.Service == service && m.State == StateReady {
+		if m.Service == service && m.State == StateReady && !s.evacuated[m.Zone] {
 			n++
 		}
 	}
--- a/internal/run/gateway/feed.go
+++ b/internal/run/gateway/feed.go
@@ -24,6 +24,16 @@
 // feedNodes names the list of nodes in the log. It is no feed, since nobody watches it.
 const feedNodes core.FeedName = "nodes"
 
+// followFeeds follows the feeds of the store: that of the evacuations only in deployments whose
+// operators evacuate zones, since each call to the store counts.
+func (r *Runner) followFeeds() {
+	for _, f := range r.cfg.Services.Feeds {
+		if f.Name != core.FeedEvacuations || evacuates(r.cfg.Settings) {
+			r.keepRunning("feed "+string(f.Name), func() { r.follow(f) })
+		}
+	}
+}
+
 // follow submits the changes of a feed until the node stops.
 func (r *Runner) follow(f Feed) {
 	revision := store.Revision{}
@@ -66,9 +76,9 @@
 	if requested.interrupt(cancel) {
 		return Changes{}, errListDue
 	}
-	turn := r.turn()
+	turn := r.turn(f.Name)
 	if !turn.Watch {
-		return Changes{}, r.awaitTurn(ctx, turn)
+		return Changes{}, r.awaitTurn(ctx, f.Name, turn)
 	}
 	changes, err := f.Watch(ctx, revision, turn.Wait)
 	if errors.Is(context.Cause(ctx), errListDue) {
@@ -83,8 +93,8 @@
 
 // awaitTurn waits until the node's turn to list, or until the node is assigned
 // to watch.
-func (r *Runner) awaitTurn(ctx context.Context, turn core.Turn) error {
-	for end := r.cfg.Clock.Now().Add(turn.Wait); r.cfg.Clock.Now().Before(end) && !turn.Watch; turn = r.turn() {
+func (r *Runner) awaitTurn(ctx context.Context, feed core.FeedName, turn core.Turn) error {
+	for end := r.cfg.Clock.Now().Add(turn.Wait); r.cfg.Clock.Now().Before(end) && !turn.Watch; turn = r.turn(feed) {
 		wait := min(end.Sub(r.cfg.Clock.Now()), turnCheckInterval)
 		if !r.cfg.Clock.Sleep(ctx, wait) {
 			break
@@ -134,10 +144,10 @@
 	}
 }
 
-func (r *Runner) turn() core.Turn {
+func (r *Runner) turn(feed core.FeedName) core.Turn {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.core.Turn(r.cfg.Clock.Now())
+	return r.core.FeedTurn(r.cfg.Clock.Now(), feed)
 }
 
 func (r *Runner) submitChanges(f Feed, c Changes) {
--- a/internal/run/gateway/runner.go
+++ b/internal/run/gateway/runner.go
@@ -119,6 +119,7 @@
 		Seeds:         s.Peers.Seeds,
 		FirstStart:    s.FirstStart,
 		Bounds:        bounds(s),
+		Evacuates:     evacuates(s),
 	}, rand.New(rand.NewPCG(uint64(start), 0)))
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	if follow := cfg.Services.FollowGeneration; follow != nil {
@@ -159,6 +160,10 @@
 	}
 }
 
+// evacuates reports whether the operators evacuate availability zones. It is decided when the
+// process starts.
+func evacuates(s settings.Gateway) bool { return s.Bounds.Evacuation.Duration > 0 }
+
 // The places in Runner.servers of those whose answers are completed at the end.
 const (
 	callerServerIndex = 0
@@ -233,9 +238,7 @@
 	for i, s := range r.servers {
 		r.group.Go(func() { _ = s.Serve(r.listeners[i]) })
 	}
-	for _, f := range r.cfg.Services.Feeds {
-		r.keepRunning("feed "+string(f.Name), func() { r.follow(f) })
-	}
+	r.followFeeds()
 	r.keepRunning("nodes", r.followNodes)
 	r.keepRunning("idle connections", r.closeIdle)
 	state.runner.Store(r)
--- a/internal/run/settings/gateway.go
+++ b/internal/run/settings/gateway.go
@@ -63,6 +63,9 @@
 	// tokens.
 	QuotaOver  float64 `toml:"quota_over"`
 	QuotaSlack float64 `toml:"quota_slack"`
+	// Evacuation is the time within which nothing more is sent to an availability zone that
+	// the operator evacuates, 0 if the deployment has no evacuations.
+	Evacuation Duration `toml:"evacuation"`
 }
 
 // Duties of the node that holds the lease. A settings file lists those that the
@@ -114,6 +117,9 @@
 	c.positiveDuration("bounds.usage_window", s.Bounds.UsageWindow)
 	c.positiveDuration("bounds.retry_window", s.Bounds.RetryWindow)
 	c.positiveDuration("bounds.quota_window", s.Bounds.QuotaWindow)
+	if s.Bounds.Evacuation.Duration < 0 {
+		c.report("bounds.evacuation", "must not be negative")
+	}
 	if s.Bounds.RetryRatio < 0 || s.Bounds.RetrySlack < 0 {
 		c.report("bounds.retry_ratio", "must not be negative")
 	}
--- a/internal/run/settings/settings_test.go
+++ b/internal/run/settings/settings_test.go
@@ -82,3 +82,30 @@
 		"platform.store", "platform.cloud", "bounds.grace", "bounds.retry_ratio", "duties",
 	})
 }
+
+// TestEvacuationBound: deployments without evacuations have no bound for them, and a malformed one is
+// reported.
+func TestEvacuationBound(t *testing.T) {
+	for _, test := range []struct {
+		line string
+		want time.Duration
+		ok   bool
+	}{
+		{"", 0, true},
+		{`evacuation = "5000ms"`, 5 * time.Second, true},
+		{`evacuation = "0s"`, 0, true},
+		{`evacuation = "-1s"`, -time.Second, false},
+		{`evacuation = "ms"`, 0, false},
+	} {
+		t.Run(test.line, func(t *testing.T) {
+			c := qt.New(t)
+			s, problems := ParseGateway("[bounds]\n" + test.line + "\n")
+			reported := false
+			for _, p := range problems {
+				reported = reported || p.Key == "bounds.evacuation" || p.Line == 2
+			}
+			c.Assert(reported, qt.Equals, !test.ok)
+			c.Assert(s.Bounds.Evacuation.Duration, qt.Equals, test.want)
+		})
+	}
+}
