gateway: callers are not sent to nodes whose latest status is six seconds old

A zone of hundreds of nodes that is lost at once leaves nobody there who reports its nodes as unreachable. Nodes of other zones counted them as in contact for four intervals of statuses, 13 s among 340 nodes, and the directory named them for as long. The directory now leaves a node out whose latest status is 6 s old. With 150 nodes or fewer four intervals are shorter than that, so nothing changes there.

TestDirectoryForgetsSilentNodes/340 and a run of all statuses among 340 nodes with a zone lost failed before (named 7 s after the loss) and pass; 7, 70 and 125 nodes passed before and after.

--- a/internal/core/gateway/members.go
+++ b/internal/core/gateway/members.go
@@ -26,6 +26,10 @@
 	// as silent to which no connection can be opened. It is more than the time between two
 	// statuses, so that a peer that is reached in one direction only stays in contact.
 	unreachableIntervals = 1.4
+	// maxNamedAge is the age of a node's latest status from which on callers are not sent to it.
+	// Among hundreds of nodes four intervals are longer, and nobody may be left in a lost zone
+	// who could report it; a node that is left out by chance is named again with its next status.
+	maxNamedAge = 6 * time.Second
 	// silentPeerInterval is the minimum interval between two statuses to a
 	// silent peer.
 	silentPeerInterval = time.Second
@@ -282,6 +286,11 @@
 	return g.callerAddresses(limit, func(bool) bool { return true })
 }
 
+// isNamed reports whether callers may be sent to a member.
+func (g *Gateway) isNamed(m *member) bool {
+	return g.inContact(m) && m.status.Ready && g.now.Sub(m.lastContact) < maxNamedAge
+}
+
 // callerAddresses returns the addresses of nodes that are ready and selected by whether they
 // have lost their paths to the upstreams.
 func (g *Gateway) callerAddresses(limit int, selected func(lost bool) bool) []string {
@@ -290,7 +299,7 @@
 		list = append(list, g.cfg.CallerAddress)
 	}
 	for _, m := range g.sortedMembers() {
-		if len(list) < limit && g.inContact(m) && m.status.Ready && selected(m.status.PathsLost) {
+		if len(list) < limit && g.isNamed(m) && selected(m.status.PathsLost) {
 			list = append(list, m.status.CallerAddress)
 		}
 	}
