--- a/internal/core/gateway/fleet.go
+++ b/internal/core/gateway/fleet.go
@@ -34,6 +34,9 @@
 	// before it orders upstreams. At first it knows neither the load nor its
 	// peers.
 	fleetStartDelay = 1500 * time.Millisecond
+	// returnCooldown is the duration after a zone was taken back in which no upstream is
+	// released: those of the zone may have to warm up.
+	returnCooldown = 30 * time.Second
 )
 
 // addWork counts the work of a request that has arrived, whether or not an
@@ -171,7 +174,10 @@
 
 func (g *Gateway) fleetView(service string) fleet.View {
 	work, surge := g.totalWork(service)
-	return fleet.View{Upstreams: g.upstreams.All(), BusyEngines: work, Surge: surge, KeepAll: g.rollingOut(service)}
+	return fleet.View{
+		Upstreams: g.upstreams.All(), BusyEngines: work, Surge: surge, Evacuated: g.evacuations.Zones(),
+		KeepAll: g.rollingOut(service) || g.zoneReturned(),
+	}
 }
 
 func (g *Gateway) orderUpstreams(p *fleet.Planner, service string) {
@@ -201,6 +207,11 @@
 	return r != nil && (r.order.Open() || g.now.Sub(r.endedAt) < rolloutCooldown)
 }
 
+// zoneReturned reports whether a zone was taken back within returnCooldown.
+func (g *Gateway) zoneReturned() bool {
+	return !g.zoneReturnedAt.IsZero() && g.now.Sub(g.zoneReturnedAt) < returnCooldown
+}
+
 func (g *Gateway) fleetOrdered(e FleetOrdered) {
 	g.count(CountDuty, "fleet_"+string(e.Outcome))
 	switch e.Outcome {
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"monsoonlanding/internal/core/average"
+	"monsoonlanding/internal/core/evacuation"
 	"monsoonlanding/internal/core/fleet"
 	"monsoonlanding/internal/core/leader"
 	"monsoonlanding/internal/core/placement"
@@ -35,6 +36,9 @@
 	// known.
 	Seeds  []string
 	Bounds Bounds
+	// Evacuates is set if the deployment's operators evacuate availability zones: the process
+	// sends nothing before it has read which ones.
+	Evacuates bool
 	// Cost ranks the upstreams; nil means placement.LeastTime.
 	Cost placement.Cost
 }
@@ -110,12 +114,16 @@
 	heldGeneration       int64
 	// drainingSince holds when each draining upstream was first seen draining.
 	drainingSince map[string]time.Time
-	// evacuateLater holds the draining engines whose streams could not be moved because of
+	// moveLater holds the draining engines whose streams could not be moved because of
 	// pauses, theirs or others'.
-	evacuateLater map[string]bool
+	moveLater map[string]bool
 	// reportsSlowdown holds the services of which an upstream has reported how long work takes.
 	reportsSlowdown map[string]bool
 
+	evacuations *evacuation.Register
+	// zoneReturnedAt is when the latest zone was taken back, zero if none was.
+	zoneReturnedAt time.Time
+
 	leaves leaves
 	paths  paths
 	// relaysAt counts the requests that are passed on, by the node that has them.
@@ -176,7 +184,8 @@
 		relaysAt:        make(map[string]int),
 		spread:          configSpread{receivers: make(map[string]time.Time)},
 		drainingSince:   make(map[string]time.Time),
-		evacuateLater:   make(map[string]bool),
+		moveLater:       make(map[string]bool),
+		evacuations:     evacuation.New(),
 		reportsSlowdown: make(map[string]bool),
 		leaves:          make(leaves),
 		paths:           paths{failed: make(map[string]failedUpstream), reached: make(map[uint64]time.Time)},
@@ -293,6 +302,10 @@
 		g.usageReported(e)
 	case FleetOrdered:
 		g.fleetOrdered(e)
+	case EvacuationsListed:
+		g.evacuationsListed(e)
+	case EvacuationsChanged:
+		g.evacuationsChanged(e)
 	case RolloutsChanged:
 		g.rolloutsChanged(e)
 	case RolloutWritten:
@@ -354,6 +367,7 @@
 	g.pruneAt = g.now.Add(pruneInterval)
 	g.upstreams.Expire(g.now)
 	g.quarantine.Prune(g.now)
+	g.expireEvacuations()
 	g.pruneLeaves()
 	g.pruneDeparted()
 	g.prunePaths()
@@ -361,7 +375,7 @@
 
 // Ready reports whether the node accepts new callers.
 func (g *Gateway) Ready() bool {
-	return g.table.Version() > 0 && g.upstreamsRead && g.rolloutsRead && !g.stopping
+	return g.table.Version() > 0 && g.upstreamsRead && g.rolloutsRead && g.evacuationsKnown() && !g.stopping
 }
 
 // Stopping reports whether the node is shutting down.
--- a/internal/core/gateway/move.go
+++ b/internal/core/gateway/move.go
@@ -58,14 +58,17 @@
 	}
 }
 
-// evacuate moves the streams at a draining engine that would not end in time.
+// moveRuns moves the streams at a draining engine that would not end in time.
 // Those that cannot be resumed otherwise go first.
-func (g *Gateway) evacuate(source placement.Upstream) {
+func (g *Gateway) moveRuns(source placement.Upstream) {
 	if source.State != placement.StateDraining || !g.canCopyCache(source) {
 		return
 	}
+	if g.isEvacuated(source) {
+		return
+	}
 	if !g.upstreams.Admits(g.now, source) {
-		g.evacuateLater[source.ID] = true
+		g.moveLater[source.ID] = true
 		return
 	}
 	openMoves := 0
@@ -127,7 +130,7 @@
 	target, ok := g.upstreams.Pick(g.now, query)
 	if !ok {
 		if g.upstreams.CountPaused(g.now, r.service) > 0 {
-			g.evacuateLater[source.ID] = true
+			g.moveLater[source.ID] = true
 		}
 		return false
 	}
@@ -171,7 +174,7 @@
 	default:
 		r.move.moved = &e
 	}
-	g.evacuate(source)
+	g.moveRuns(source)
 }
 
 // endedInMove processes the end of a stream that is being moved. It returns
@@ -219,13 +222,14 @@
 
 // continueRun continues a stopped run. If the upstream has asked for a pause, a stream that can
 // be resumed elsewhere is; another one waits for the end of the pause if it may be served then.
+// None waits for an evacuated zone, which may be so for hours.
 func (g *Gateway) continueRun(r *request, run stoppedRun) {
 	left := g.upstreams.PauseLeft(g.now, run.upstream)
 	switch {
-	case left == 0:
+	case g.upstreams.Admits(g.now, run.upstream):
 		r.stopped = nil
 		g.dispatchTo(r, run.upstream, run.from)
-	case r.route.Retryable() || !g.now.Add(left).Before(r.deadline):
+	case r.route.Retryable() || g.isEvacuated(run.upstream) || !g.now.Add(left).Before(r.deadline):
 		r.stopped = nil
 		g.afterRun(r, run.ended)
 	default:
@@ -236,10 +240,10 @@
 
 // continueAfterPauses moves runs and continues stopped ones whose upstreams' pauses are over.
 func (g *Gateway) continueAfterPauses() {
-	for _, id := range slices.Sorted(maps.Keys(g.evacuateLater)) {
-		delete(g.evacuateLater, id)
+	for _, id := range slices.Sorted(maps.Keys(g.moveLater)) {
+		delete(g.moveLater, id)
 		if u, known := g.upstreams.Get(id); known {
-			g.evacuate(u)
+			g.moveRuns(u)
 		}
 	}
 	var stopped []*request
@@ -250,7 +254,7 @@
 	}
 	slices.SortFunc(stopped, byArrival)
 	for _, r := range stopped {
-		if g.upstreams.Admits(g.now, r.stopped.upstream) {
+		if g.upstreams.Admits(g.now, r.stopped.upstream) || g.isEvacuated(r.stopped.upstream) {
 			g.continueRun(r, *r.stopped)
 		}
 	}
--- a/internal/core/gateway/state.go
+++ b/internal/core/gateway/state.go
@@ -21,6 +21,9 @@
 	LeaseHeld  bool                    `json:"lease_held"`
 	LeaseToken int64                   `json:"lease_token"`
 	Services   map[string]ServiceState `json:"services"`
+	// EvacuatedZones counts the availability zones to whose upstreams nothing is sent, those
+	// without upstreams too.
+	EvacuatedZones int `json:"evacuated_zones"`
 	// QuotaLeft is the number of units that each team served here may spend at
 	// once.
 	QuotaLeft map[string]float64 `json:"quota_left"`
@@ -46,6 +49,8 @@
 // ServiceState is a snapshot of a service.
 type ServiceState struct {
 	Upstreams int `json:"upstreams"`
+	// Evacuated is the number of further ones in evacuated availability zones.
+	Evacuated int `json:"evacuated"`
 	// Paused is the number of upstreams that have asked this node for a pause.
 	Paused int `json:"paused"`
 	// Reporting is the number of upstreams that have told this node lately how long work takes
@@ -71,6 +76,7 @@
 		LeaseHeld:      g.lease.Held(),
 		LeaseToken:     g.lease.FencingToken(),
 		Services:       make(map[string]ServiceState),
+		EvacuatedZones: len(g.evacuations.Zones()),
 		QuotaLeft:      make(map[string]float64),
 		Quotas:         make(map[string]QuotaState),
 		Quarantined:    g.quarantine.Quarantined(),
@@ -96,7 +102,7 @@
 }
 
 func (g *Gateway) serviceState(service string) ServiceState {
-	s := ServiceState{Upstreams: g.upstreams.Count(service), Paused: g.upstreams.CountPaused(g.now, service)}
+	s := ServiceState{Upstreams: g.upstreams.Count(service), Evacuated: g.upstreams.CountEvacuated(service), Paused: g.upstreams.CountPaused(g.now, service)}
 	s.Reporting, s.Slow = g.upstreams.CountSlow(g.now, service)
 	for _, r := range g.requests {
 		switch {
