placement: learn how much work each upstream takes well

Upstreams of one service differ in speed, and some slow down before they are full; all counted as equally fast until their queue showed. Package capacity estimates speed and room of each from the times of answers, nodes share the samples that differ from the usual, and the choice goes by them. Off unless the settings switch it on.

--- a/internal/core/gateway/attempt.go
+++ b/internal/core/gateway/attempt.go
@@ -46,6 +46,7 @@
 		return
 	}
 	g.countPace(r, e.Interval)
+	g.upstreams.RecordPace(g.now, r.upstream.ID, r.conn, e.Interval)
 	g.recordSound(r)
 }
 
--- a/internal/core/gateway/dispatch.go
+++ b/internal/core/gateway/dispatch.go
@@ -49,6 +49,7 @@
 	}
 	load, pauseLeft := g.upstreams.Load(u.ID), g.upstreams.PauseLeft(g.now, u)
 	g.upstreams.RecordStart(g.now, u.ID, r.conn, prompt)
+	g.upstreams.RecordGoals(u.ID, r.conn, r.route.Name, r.route.LatencyGoal, r.route.MaxPause)
 	if from != (KVCache{}) {
 		g.upstreams.RecordCacheMove(u.ID, r.conn)
 	}
--- a/internal/core/gateway/event.go
+++ b/internal/core/gateway/event.go
@@ -192,8 +192,9 @@
 
 // SettingsChanged carries reloaded settings.
 type SettingsChanged struct {
-	Seeds  []string
-	Bounds Bounds
+	Seeds    []string
+	Bounds   Bounds
+	Learning placement.Learning
 }
 
 // StoreGeneration reports that the store's answers name a later generation than before.
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -37,6 +37,9 @@
 	Bounds Bounds
 	// Cost ranks the upstreams; nil means placement.LeastTime.
 	Cost placement.Cost
+	// Learning selects the services of which it is learned how much work each upstream takes
+	// well; empty means placement.LearnOff.
+	Learning placement.Learning
 }
 
 // Bounds are the limits that the operators set for the deployment.
@@ -146,9 +149,11 @@
 	broadcastAt    time.Time
 	contactSeedsAt time.Time
 	pruneAt        time.Time
-	stopping       bool
-	stoppingSince  time.Time
-	drained        bool
+	// logCapacitiesAt is when changes of the upstreams' capacity are looked for next.
+	logCapacitiesAt time.Time
+	stopping        bool
+	stoppingSince   time.Time
+	drained         bool
 }
 
 // New returns a Gateway without configuration, upstreams and peers.
@@ -184,6 +189,7 @@
 		work:          make(map[string]*average.Rate),
 	}
 	g.upstreams = placement.New(cfg.Node, cfg.Zone, cfg.Cost, placement.Shares{Limit: g.limitShare, Slots: g.slotPart}, rng)
+	g.upstreams.Learn(cfg.Learning)
 	return g
 }
 
@@ -282,11 +288,13 @@
 }
 
 func (g *Gateway) settingsChanged(e SettingsChanged) {
-	if slices.Equal(g.cfg.Seeds, e.Seeds) && g.cfg.Bounds == e.Bounds {
+	if slices.Equal(g.cfg.Seeds, e.Seeds) && g.cfg.Bounds == e.Bounds && g.cfg.Learning == e.Learning {
 		return
 	}
 	g.cfg.Seeds = e.Seeds
 	g.cfg.Bounds = e.Bounds
+	g.cfg.Learning = e.Learning
+	g.upstreams.Learn(e.Learning)
 	g.log("settings", "settings reloaded", "seeds", len(e.Seeds))
 }
 
@@ -322,6 +330,7 @@
 	g.performDuties()
 	g.syncQuarantine()
 	g.checkDrained()
+	g.logCapacities()
 	if g.now.Before(g.pruneAt) {
 		return
 	}
--- a/internal/core/gateway/members.go
+++ b/internal/core/gateway/members.go
@@ -172,6 +172,7 @@
 		delete(g.members, m.node)
 		g.memberOrder = slices.DeleteFunc(slices.Clone(g.memberOrder), func(other *member) bool { return other == m })
 		g.upstreams.RemovePeer(m.node)
+		g.upstreams.ForgetSamples(m.node)
 		g.quarantine.RemovePeer(m.node)
 		g.log("member", "node forgotten", "peer", m.node)
 	}
--- a/internal/core/gateway/state.go
+++ b/internal/core/gateway/state.go
@@ -1,6 +1,9 @@
 package gateway
 
-import "monsoonlanding/internal/core/quarantine"
+import (
+	"monsoonlanding/internal/core/placement"
+	"monsoonlanding/internal/core/quarantine"
+)
 
 // State is a snapshot of a node, for its metrics.
 type State struct {
@@ -19,6 +22,8 @@
 	// QuotaLeft is the number of units that each team served here may spend at
 	// once.
 	QuotaLeft map[string]float64 `json:"quota_left"`
+	// Capacity is what each upstream is held to take well, by ID.
+	Capacity map[string]placement.Capacity `json:"capacity,omitempty"`
 	// Quarantined is the number of crashes for each trait of requests that is
 	// refused because of them.
 	Quarantined map[quarantine.Trait]int `json:"quarantined"`
@@ -54,6 +59,12 @@
 	for _, service := range g.table.Services() {
 		s.Services[service.Name] = g.serviceState(service.Name)
 	}
+	for _, c := range g.upstreams.Capacities(g.now) {
+		if s.Capacity == nil {
+			s.Capacity = make(map[string]placement.Capacity)
+		}
+		s.Capacity[c.Upstream] = c
+	}
 	for name, q := range g.quotas {
 		s.QuotaLeft[name] = q.bucket.Level()
 	}
--- a/internal/core/gateway/status.go
+++ b/internal/core/gateway/status.go
@@ -14,6 +14,9 @@
 	statusKnownNodes = 3
 	// statusWindows is the number of usage windows that a status carries.
 	statusWindows = 2
+	// sampleIntervals is the number of status intervals for which a status carries a sample
+	// of an upstream's capacity, so that one status may be lost.
+	sampleIntervals = 2
 	// syncGrace is the maximum time for a change that a peer reports to arrive
 	// here from the store.
 	syncGrace = 300 * time.Millisecond
@@ -57,6 +60,7 @@
 	}
 	s.Limits = g.upstreams.OwnLimits(g.now)
 	s.Brittle = g.upstreams.OwnBrittle(g.now)
+	s.Samples = g.upstreams.OwnSamples(g.now, g.interval()*sampleIntervals)
 	for name, q := range g.quotas {
 		s.QuotaSpent = append(s.QuotaSpent, peer.TeamQuotaSpent{Team: name, Units: q.spent, Asked: q.asked})
 	}
@@ -152,6 +156,7 @@
 	g.upstreams.SetPeerLoads(s.Node, upstreamLoads(s))
 	g.upstreams.MergeLimits(g.now, s.Limits)
 	g.upstreams.MergeBrittle(g.now, s.Brittle)
+	g.upstreams.MergeSamples(g.now, s.Node, s.Start, s.Samples)
 	g.departuresReported(s.Departed)
 	for _, process := range s.Leaving {
 		g.leaveAnnounced(process, s.Node)
--- a/internal/core/peer/status.go
+++ b/internal/core/peer/status.go
@@ -42,6 +42,8 @@
 	Limits []placement.ObservedLimit `cbor:"20,keyasint,omitempty"`
 	// Brittle holds the rejections a second that upstreams have said to the sender they bear.
 	Brittle []placement.ObservedLimit `cbor:"32,keyasint,omitempty"`
+	// Samples are times of answers that differ from the usual, for the capacity of upstreams.
+	Samples *placement.SharedSamples `cbor:"36,keyasint,omitempty"`
 	// Quarantine is what the sender knows of requests that may crash upstreams.
 	Quarantine quarantine.Report `cbor:"19,keyasint"`
 	// UpstreamsRevision is the store's revision of the latest change to the
--- a/internal/core/placement/cache.go
+++ b/internal/core/placement/cache.go
@@ -14,6 +14,9 @@
 	recomputeWeight = 8
 	// errorCost is the cost added at an error rate of 1; it scales with the rate.
 	errorCost = 2 * time.Second
+	// beyondRoomCost is added for an upstream that runs as many requests as it takes well, so
+	// that any other one is preferred.
+	beyondRoomCost = 10 * time.Second
 	// unlistedCost is added for an upstream that is missing from the platform's
 	// list, so that any listed one is preferred.
 	unlistedCost = time.Minute
--- a/internal/core/placement/cost.go
+++ b/internal/core/placement/cost.go
@@ -9,6 +9,11 @@
 	// Recompute is the time to prefill the shared prompt parts that are not in
 	// this upstream's cache.
 	Recompute time.Duration
+	// Slower is the time that the request itself takes there beyond the usual, negative at an
+	// upstream that is faster than usual.
+	Slower time.Duration
+	// BeyondRoom reports whether as many requests run there as it takes well.
+	BeyondRoom bool
 	// Running is the number of requests of all nodes that run there.
 	Running int
 	// TotalPlaced is the total number of requests that this node has sent there.
@@ -29,7 +34,10 @@
 // time at an idle one that is in the node's own zone and has the shared prompt
 // parts cached. It includes the delay that the request causes to others there.
 func LeastTime(c Candidate) time.Duration {
-	cost := c.Wait + recomputeWeight*c.Recompute
+	cost := c.Wait + c.Slower + recomputeWeight*c.Recompute
+	if c.BeyondRoom {
+		cost += beyondRoomCost
+	}
 	cost += time.Duration(c.Errors * float64(errorCost))
 	if c.OtherZone {
 		cost += otherZoneCost
--- a/internal/core/placement/doc.go
+++ b/internal/core/placement/doc.go
@@ -35,6 +35,13 @@
 // The prefill rate of a service's engines differs between deployments. It is
 // estimated from the latency between a request's dispatch and its first event.
 //
+// # Learned capacity
+//
+// If the set learns, the times of answers show how fast each upstream is compared with its
+// service, and up to how many requests it keeps to the goals of their routes (package capacity).
+// Nodes share the samples that differ from the usual. A slower upstream costs more; one that runs
+// as many requests as it takes well gets others only if no other upstream has room.
+//
 // # Usage
 //
 //	s := placement.New("node-a", "zone-1", placement.LeastTime, shares, rng)
--- a/internal/core/placement/health.go
+++ b/internal/core/placement/health.go
@@ -27,6 +27,9 @@
 	if m == nil || m.running[request] == nil {
 		return
 	}
+	if outcome == Succeeded {
+		s.learnWhole(now, m, m.running[request])
+	}
 	delete(m.running, request)
 	m.recordOutcome(now, outcome)
 }
--- /dev/null
+++ b/internal/core/placement/learned.go
@@ -0,0 +1,312 @@
+package placement
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"monsoonlanding/internal/core/capacity"
+)
+
+// Learning selects the services of which it is learned how much work each upstream takes well.
+type Learning string
+
+// Selections of services.
+const (
+	LearnOff Learning = "off"
+	// LearnReported selects the services whose upstreams report how long work takes there at
+	// the moment: then passing slowness can be told from lasting one.
+	LearnReported Learning = "reported"
+	LearnOn       Learning = "on"
+)
+
+const (
+	// goalPart is the part of a route's goal that is left for the upstream. The rest is for
+	// waiting at the node and for the network.
+	goalPart = 0.8
+	// minLearnWeight is the least weight of a sample of an engine, for prompts of which little
+	// is left to prefill.
+	minLearnWeight = 0.2
+)
+
+// learner learns how much work the upstreams take well.
+type learner struct {
+	mode     Learning
+	services map[string]*learnedService
+	// processes holds the members by the identity of their processes.
+	processes map[uint64]*member
+	samples   sampleExchange
+}
+
+// learnedService is what is learned of a service.
+type learnedService struct {
+	group capacity.Group
+	// usual holds the usual times of whole answers, by route.
+	usual map[string]*capacity.Usual
+	// reports is set once an upstream of the service has reported how long work takes there.
+	reports bool
+}
+
+// learningRequest is what is kept of a request to learn from its time.
+type learningRequest struct {
+	// route is empty if the time is not learned from.
+	route string
+	// goal is the route's goal for the first event or the whole answer, 0 if it has none;
+	// maxPause that for the time between two events.
+	goal, maxPause time.Duration
+	// running is the number of other requests that ran at the upstream.
+	running int
+	// slowdown is what the upstream had reported of its machine, 0 if nothing.
+	slowdown float64
+}
+
+func newLearner(mode Learning) learner {
+	return learner{
+		mode:      mode,
+		services:  make(map[string]*learnedService),
+		processes: make(map[uint64]*member),
+		samples:   newSampleExchange(),
+	}
+}
+
+// Learn sets the services that the set learns about. What was learned before is dropped if they
+// change.
+func (s *Set) Learn(mode Learning) {
+	if mode == s.learner.mode {
+		return
+	}
+	s.learner = newLearner(mode)
+	for _, m := range s.sorted {
+		m.learned, m.logged = nil, loggedCapacity{}
+		s.startLearning(m)
+	}
+}
+
+func (l *learner) off() bool { return l.mode == LearnOff || l.mode == "" }
+
+// startLearning begins to learn about the process of an upstream.
+func (s *Set) startLearning(m *member) {
+	if s.learner.off() {
+		return
+	}
+	service := s.learner.services[m.Service]
+	if service == nil {
+		service = &learnedService{usual: make(map[string]*capacity.Usual)}
+		s.learner.services[m.Service] = service
+	}
+	m.learned = service.group.Add()
+	s.learner.processes[m.processHash()] = m
+}
+
+// unlearn forgets the process of an upstream.
+func (s *Set) unlearn(m *member) {
+	if m == nil || m.learned == nil {
+		return
+	}
+	s.learner.services[m.Service].group.Remove(m.learned)
+	delete(s.learner.processes, m.processHash())
+	m.learned = nil
+}
+
+// processHash identifies the process of the upstream to peers.
+func (m *member) processHash() uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(m.ID)
+	started := m.StartedAt.UnixNano()
+	for range 8 {
+		_, _ = d.Write([]byte{byte(started)})
+		started >>= 8
+	}
+	return d.Sum64()
+}
+
+// learnedService returns what is learned of a service, nil if nothing is.
+func (s *Set) learnedService(service string) *learnedService {
+	l := s.learner.services[service]
+	if l == nil || s.learner.mode == LearnReported && !l.reports {
+		return nil
+	}
+	return l
+}
+
+// learningRequest returns what is kept of a request that is sent to an upstream.
+func (s *Set) learningRequest(now time.Time, m *member) learningRequest {
+	if m.learned == nil {
+		return learningRequest{}
+	}
+	return learningRequest{running: m.loadAt(now).Running, slowdown: m.statedSlowdown(now)}
+}
+
+// RecordGoals records the goals of the route of a request that was sent to an upstream. Its time
+// is not learned from otherwise.
+func (s *Set) RecordGoals(id string, request uint64, route string, goal, maxPause time.Duration) {
+	m := s.members[id]
+	if m == nil || m.learned == nil {
+		return
+	}
+	if r := m.running[request]; r != nil {
+		r.learning.route, r.learning.goal, r.learning.maxPause = route, goal, maxPause
+	}
+}
+
+// learnPrefill learns from the time to the first event of a request to an engine.
+func (s *Set) learnPrefill(now time.Time, m *member, r *activeRequest) {
+	if r.learning.route == "" || s.learnedService(m.Service) == nil {
+		return
+	}
+	speed := s.Speed(m.Service)
+	prefill := speed.PrefillTime(r.prefillTokens)
+	usual := prefill + time.Duration(r.batchSize)*speed.SlotCost + speed.PostPrefillLatency
+	took := now.Sub(r.placedAt)
+	if took <= 0 {
+		return
+	}
+	weight := max(float64(prefill)/float64(usual), minLearnWeight)
+	s.learn(now, m, r.learning, took, float64(took)/float64(usual), weight)
+}
+
+// learnWhole learns from the time of a whole answer of a plain service.
+func (s *Set) learnWhole(now time.Time, m *member, r *activeRequest) {
+	service := s.learnedService(m.Service)
+	if r.learning.route == "" || service == nil || r.Memory > 0 {
+		return
+	}
+	usual := service.usual[r.learning.route]
+	if usual == nil {
+		usual = &capacity.Usual{}
+		service.usual[r.learning.route] = usual
+	}
+	took := now.Sub(r.placedAt)
+	slowdown := r.learning.explained(m.statedSlowdown(now))
+	stretch, ok := usual.Observe(time.Duration(float64(took) / (slowdown * turns(r.learning.running, m.Slots))))
+	if ok {
+		s.learn(now, m, r.learning, took, stretch*slowdown, 1)
+	}
+}
+
+// turns returns the time of a request at an upstream that runs a number of others and queues
+// those beyond its slots, as a multiple of its time alone.
+func turns(running, slots int) float64 {
+	if slots == 0 {
+		return 1
+	}
+	return 1 + float64(max(running+1-slots, 0))/float64(slots)
+}
+
+// RecordPace learns from the mean interval between the first events of a stream: one that is
+// longer than the longest pause that callers expect misses their goal.
+func (s *Set) RecordPace(now time.Time, id string, request uint64, interval time.Duration) {
+	m := s.members[id]
+	if m == nil || s.learnedService(m.Service) == nil {
+		return
+	}
+	r := m.running[request]
+	if r == nil || r.learning.maxPause <= 0 || interval <= r.learning.maxPause {
+		return
+	}
+	stretch := float64(interval) / float64(r.learning.maxPause)
+	sample := r.learning.sample(now, m, max(stretch, capacity.Notable))
+	sample.Missed = true
+	s.observeOwn(now, m, sample)
+}
+
+// learn adds the sample of a request that took a time, which is a stretch of what is usual.
+func (s *Set) learn(now time.Time, m *member, r learningRequest, took time.Duration, stretch, weight float64) {
+	slowdown := r.explained(m.statedSlowdown(now))
+	sample := r.sample(now, m, stretch/slowdown)
+	sample.Weight = weight
+	sample.Missed = r.goal > 0 && float64(took)/slowdown > goalPart*float64(r.goal)
+	s.observeOwn(now, m, sample)
+}
+
+// sample returns a sample of the request without weight.
+func (r learningRequest) sample(now time.Time, m *member, stretch float64) capacity.Sample {
+	sample := capacity.Sample{At: now, Stretch: stretch}
+	if m.Slots > 0 {
+		sample.Load = float64(r.running) / float64(m.Slots)
+	}
+	return sample
+}
+
+// explained returns the slowdown that an upstream has stated for the time of a request: what is
+// explained by it passes and is not learned.
+func (r learningRequest) explained(stated float64) float64 {
+	if stated <= 0 {
+		stated = r.slowdown
+	}
+	if stated <= 0 {
+		return 1
+	}
+	return stated
+}
+
+// recordSlowdown records how long work takes on an upstream's machine at the moment, as it states
+// itself; 0 if it states nothing.
+func (s *Set) recordSlowdown(now time.Time, m *member, slowdown float64) {
+	if slowdown <= 0 || m.learned == nil {
+		return
+	}
+	m.slowdown, m.slowdownAt = slowdown, now
+	s.learner.services[m.Service].reports = true
+}
+
+// statedSlowdown returns what an upstream has stated last of its machine, 0 if that is too old.
+func (m *member) statedSlowdown(now time.Time) float64 {
+	if now.Sub(m.slowdownAt) >= reportMaxAge {
+		return 0
+	}
+	return m.slowdown
+}
+
+// observeOwn adds a sample of this node, and shares it if it tells peers something.
+func (s *Set) observeOwn(now time.Time, m *member, sample capacity.Sample) {
+	m.learned.Observe(now, sample)
+	if m.learned.IsNotable(sample) || m.learned.Differs() {
+		s.learner.samples.share(m.processHash(), sample)
+	}
+}
+
+// refreshLearned brings the estimates of a service up to date.
+func (s *Set) refreshLearned(now time.Time, service string) {
+	if l := s.learnedService(service); l != nil {
+		l.group.Refresh(now)
+	}
+}
+
+// applyLearned changes the inputs of the cost function by what is learned of an upstream. own is
+// the usual time to prefill the request there.
+func (s *Set) applyLearned(c *Candidate, m *member, load UpstreamLoad, q Query, own time.Duration) {
+	service := s.learnedService(m.Service)
+	if service == nil {
+		return
+	}
+	if q.Slots == 0 {
+		own = service.usualTime()
+	}
+	if factor := m.learned.Factor(); factor != 1 {
+		c.Wait = time.Duration(float64(c.Wait) * factor)
+		c.Slower = time.Duration(float64(own) * (factor - 1))
+	}
+	c.BeyondRoom = load.Running >= m.takes(m.slots(q)) && m.slots(q) > 0
+}
+
+// usualTime returns the longest of the usual times of the service's routes.
+func (l *learnedService) usualTime() time.Duration {
+	longest := time.Duration(0)
+	for _, u := range l.usual {
+		longest = max(longest, u.Time())
+	}
+	return longest
+}
+
+// takes returns the number of requests that the upstream takes well at once, the number of its
+// slots if nothing else is learned.
+func (m *member) takes(slots int) int {
+	room := m.learned.Room()
+	if room >= 1 {
+		// A plain upstream queues requests beyond its slots; the cost has the wait there.
+		return math.MaxInt
+	}
+	return max(int(math.Round(room*float64(slots))), 1)
+}
--- a/internal/core/placement/load.go
+++ b/internal/core/placement/load.go
@@ -101,6 +101,7 @@
 		placedAt:      now,
 		prefillTokens: load.Prefill + uncached,
 		batchSize:     load.Running,
+		learning:      s.learningRequest(now, m),
 	}
 	m.touchParts(now, p)
 }
@@ -116,6 +117,7 @@
 		return
 	}
 	r.Prefill = 0
+	s.learnPrefill(now, m, r)
 	s.estimator(m.Service).observe(r.prefillTokens, r.batchSize, now.Sub(r.placedAt))
 }
 
@@ -128,6 +130,7 @@
 	}
 	if r := m.running[request]; r != nil {
 		r.Prefill = 0
+		r.learning = learningRequest{}
 	}
 }
 
--- a/internal/core/placement/pick.go
+++ b/internal/core/placement/pick.go
@@ -46,6 +46,7 @@
 	preferred := s.preferred(q)
 	reserved := s.reservedBelow(q)
 	speed := s.Speed(q.Service)
+	s.refreshLearned(now, q.Service)
 	for _, m := range s.sorted {
 		if !m.eligible(now, q, ejected) || !s.mayReceive(now, m) {
 			continue
@@ -143,6 +144,7 @@
 		Unlisted:    m.unlisted,
 	}
 	if q.Slots == 0 {
+		s.applyLearned(&c, m, load, q, 0)
 		return c
 	}
 	shared := q.Prompt.SharedTokens()
@@ -153,6 +155,7 @@
 		cachedTokens = shared
 	}
 	c.Recompute = speed.PrefillTime(shared - cachedTokens)
+	s.applyLearned(&c, m, load, q, speed.PrefillTime(q.Prompt.InputTokens-cachedTokens))
 	return c
 }
 
--- a/internal/core/placement/set.go
+++ b/internal/core/placement/set.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"monsoonlanding/internal/core/capacity"
 )
 
 // member is an upstream with its load and health.
@@ -41,6 +43,14 @@
 	hash uint64
 	// placed is the total number of requests that this node has sent there.
 	placed int
+	// learned estimates how much work the upstream takes well, nil if that is not learned.
+	learned *capacity.Estimator
+	// slowdown is the time that work takes on the upstream's machine at slowdownAt, as a
+	// multiple of the usual, as it states itself.
+	slowdown   float64
+	slowdownAt time.Time
+	// logged is what was logged last of it.
+	logged loggedCapacity
 }
 
 // Set holds the upstreams of all services.
@@ -64,6 +74,7 @@
 	pauses map[process]*pause
 	// estimators holds the speed estimator of each service's engines.
 	estimators map[string]*speedEstimator
+	learner    learner
 }
 
 // activeRequest is a request that this node has running at an upstream.
@@ -74,6 +85,7 @@
 	// the number of prompt tokens to prefill there, including this request's, and
 	// the number of other requests that ran there.
 	prefillTokens, batchSize int
+	learning                 learningRequest
 }
 
 // New returns an empty set for a node in a zone. The set ranks upstreams by cost
@@ -83,6 +95,7 @@
 		self: self, zone: zone, cost: cost, shares: shares, rng: rng,
 		members: make(map[string]*member), usedByPeers: make(map[string][]*member), estimators: make(map[string]*speedEstimator),
 		brittleServices: make(map[string]RateLimit), pauses: make(map[process]*pause),
+		learner: newLearner(LearnOff),
 	}
 }
 
@@ -97,9 +110,11 @@
 			peers:   make(map[string]UpstreamLoad),
 			parts:   make(map[string]time.Time),
 		}
+		s.unlearn(s.members[u.ID])
 		s.members[u.ID] = m
 		m.Upstream = u
 		s.sort()
+		s.startLearning(m)
 	}
 	m.Upstream = u
 	m.unlisted = false
@@ -123,6 +138,7 @@
 
 // Remove removes an upstream that no longer exists.
 func (s *Set) Remove(id string) {
+	s.unlearn(s.members[id])
 	delete(s.members, id)
 	s.sort()
 }
--- a/internal/run/gateway/runner.go
+++ b/internal/run/gateway/runner.go
@@ -119,6 +119,7 @@
 		Seeds:         s.Peers.Seeds,
 		FirstStart:    s.FirstStart,
 		Bounds:        bounds(s),
+		Learning:      s.Placement.Learn,
 	}, rand.New(rand.NewPCG(uint64(start), 0)))
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	if follow := cfg.Services.FollowGeneration; follow != nil {
@@ -274,7 +275,7 @@
 
 // Reload applies changed settings. Listen addresses do not change.
 func (r *Runner) Reload(s settings.Gateway) {
-	r.submit(core.SettingsChanged{Seeds: s.Peers.Seeds, Bounds: bounds(s)})
+	r.submit(core.SettingsChanged{Seeds: s.Peers.Seeds, Bounds: bounds(s), Learning: s.Placement.Learn})
 }
 
 // Kill stops the node immediately.
--- a/internal/run/settings/gateway.go
+++ b/internal/run/settings/gateway.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"monsoonlanding/internal/core/placement"
 )
 
 // Gateway holds the settings of a node on the users' platform.
@@ -13,11 +15,12 @@
 	Zone string `toml:"zone"`
 	// FirstStart is set if the whole system starts for the first time: no earlier
 	// process can have spent quota or retries, or ordered VMs.
-	FirstStart bool            `toml:"first_start"`
-	Listen     GatewayListen   `toml:"listen"`
-	Platform   GatewayPlatform `toml:"platform"`
-	Peers      Peers           `toml:"peers"`
-	Bounds     GatewayBounds   `toml:"bounds"`
+	FirstStart bool             `toml:"first_start"`
+	Listen     GatewayListen    `toml:"listen"`
+	Platform   GatewayPlatform  `toml:"platform"`
+	Peers      Peers            `toml:"peers"`
+	Bounds     GatewayBounds    `toml:"bounds"`
+	Placement  GatewayPlacement `toml:"placement"`
 	// Duties lists the duties that the platform requires.
 	Duties []string `toml:"duties"`
 	Log    Log      `toml:"log"`
@@ -65,6 +68,13 @@
 	QuotaSlack float64 `toml:"quota_slack"`
 }
 
+// GatewayPlacement configures how requests are placed at upstreams.
+type GatewayPlacement struct {
+	// Learn selects the services of which it is learned how much work each upstream takes
+	// well: none, those whose upstreams report how long work takes there, or all.
+	Learn placement.Learning `toml:"learn"`
+}
+
 // Duties of the node that holds the lease. A settings file lists those that the
 // platform requires.
 const (
@@ -93,7 +103,8 @@
 			RetryWindow: Duration{10 * time.Second},
 			QuotaWindow: Duration{8 * time.Second},
 		},
-		Log: Log{Level: zerolog.InfoLevel.String()},
+		Placement: GatewayPlacement{Learn: placement.LearnOff},
+		Log:       Log{Level: zerolog.InfoLevel.String()},
 	}
 }
 
@@ -122,5 +133,10 @@
 			c.report("duties", "%q is neither %q nor %q", duty, DutyUsage, DutyFleet)
 		}
 	}
+	switch learn := s.Placement.Learn; learn {
+	case placement.LearnOff, placement.LearnReported, placement.LearnOn:
+	default:
+		c.report("placement.learn", "%q is none of %q, %q and %q", learn, placement.LearnOff, placement.LearnReported, placement.LearnOn)
+	}
 	c.checkLogLevel(s.Log)
 }
