--- a/internal/core/capacity/estimator.go
+++ b/internal/core/capacity/estimator.go
@@ -11,9 +11,15 @@
 	maxStretch = 4
 	// maxWeight is the weight of the older samples together, in samples. It makes the mean
 	// follow a change within six samples.
-	maxWeight = 5
+	maxWeight = 5.0
 	// priorWeight is the weight of the assumption that an upstream is as usual, in samples.
-	priorWeight = 1
+	priorWeight = 1.0
+	// fullShrinkage is the part of the mean that the estimate has with the most weight.
+	fullShrinkage = maxWeight / (maxWeight + priorWeight)
+	// missingStep is the weight of a sample in the part of the samples that missed their goals,
+	// minMissing the part from which on an upstream counts as missing them.
+	missingStep = 0.5
+	minMissing  = 0.5
 	// minSamples is the number of samples below which an upstream counts as usual.
 	minSamples = 3
 	// memory is the time after which samples weigh half if no others follow.
@@ -43,7 +49,7 @@
 	// Load is the number of other requests that ran there when this one was dispatched, as a
 	// fraction of the slots.
 	Load float64
-	// Missed is set if the answer took longer than the route's goal leaves for it.
+	// Missed is set if the answer took longer than what the route's goal leaves for it.
 	Missed bool
 }
 
@@ -57,7 +63,9 @@
 	mean, weight float64
 	samples      int
 	latest       time.Time
-	room         room
+	// missing is the moving average of the part of the samples that missed their goals.
+	missing float64
+	room    room
 	// factor and whole are the estimates as of the group's last refresh.
 	factor, whole float64
 }
@@ -79,12 +87,16 @@
 		e.mean += w / e.weight * (x - e.mean)
 	}
 	s.Load = min(max(s.Load, 0), 1)
-	switch {
-	case !s.Missed:
-		e.room.inTime(s)
-	case x-e.group.usual >= logNotable:
+	missed := 0.0
+	if s.Missed {
+		missed = 1
+	}
+	e.missing += missingStep * (missed - e.missing)
+	if s.Missed && !e.group.overloaded && fullShrinkage*(x-logNotable) >= e.group.usual {
 		e.room.missed(s)
+		return
 	}
+	e.room.met(s)
 }
 
 // age lets the older samples lose weight until a time.
--- a/internal/core/capacity/group.go
+++ b/internal/core/capacity/group.go
@@ -12,7 +12,10 @@
 type Group struct {
 	members []*Estimator
 	// usual is the median of the members' stretches, as a logarithm.
-	usual       float64
+	usual float64
+	// overloaded is set while more than half of the members miss their goals: that is a load, and no
+	// upstream's room is to blame.
+	overloaded  bool
 	refreshedAt time.Time
 	// buffer is reused between two refreshes.
 	buffer []float64
@@ -37,11 +40,22 @@
 	}
 	g.refreshedAt = now
 	g.usual = g.median(now)
+	g.overloaded = g.isOverloaded()
 	for _, e := range g.members {
 		e.refresh(now)
 	}
 }
 
+func (g *Group) isOverloaded() bool {
+	missing := 0
+	for _, e := range g.members {
+		if e.missing >= minMissing {
+			missing++
+		}
+	}
+	return 2*missing > len(g.members)
+}
+
 // median returns the median of the members' stretches. An upstream without samples counts as
 // usual, so that a few slow ones are not the measure of a service whose other upstreams nobody
 // reports.
--- a/internal/core/capacity/room.go
+++ b/internal/core/capacity/room.go
@@ -15,7 +15,7 @@
 	probeStep = 1.0 / 16
 	// probeDelay is the time after a decrease in which the room stays below the ceiling.
 	probeDelay = time.Second
-	// missesToCut is the number of missed goals, less those in time, that lower the room.
+	// missesToCut is the number of missed goals, less those met, that lower the room.
 	missesToCut = 2
 	// roomMemory is the time after which half of the missing room is given back if no samples
 	// arrive.
@@ -55,8 +55,8 @@
 	r.cutAt = s.At
 }
 
-// inTime takes a sample that met its goal.
-func (r *room) inTime(s Sample) {
+// met takes a sample that met its goal, or missed it for another reason than its upstream.
+func (r *room) met(s Sample) {
 	r.age(s.At)
 	r.misses = max(r.misses-1, 0)
 	if s.Load >= r.ceiling {
