emulator, settings: upstreams of different speeds, with learning on and off

Two of the estimator's faults showed under load and are mended: noise of a few samples counted as a difference (a difference now has to last and still be there), and prompts ahead that peers had placed unheard counted as slowness (samples whose own prefill is less than half of the time are left out).

--- a/internal/core/capacity/estimator.go
+++ b/internal/core/capacity/estimator.go
@@ -9,13 +9,13 @@
 	// maxStretch bounds the stretch of a sample in both directions, so that one odd time
 	// weighs no more than a few usual ones.
 	maxStretch = 4
-	// maxWeight is the weight of the older samples together, in samples. It makes the mean
-	// follow a change within six samples.
-	maxWeight = 5.0
+	// lastingWeight is the weight of all samples together, in samples, in the mean that shows
+	// whether a difference lasts. latestWeight is that in the mean that shows whether it is
+	// still there; it follows a change within six samples.
+	lastingWeight = 30.0
+	latestWeight  = 5.0
 	// priorWeight is the weight of the assumption that an upstream is as usual, in samples.
 	priorWeight = 1.0
-	// fullShrinkage is the part of the mean that the estimate has with the most weight.
-	fullShrinkage = maxWeight / (maxWeight + priorWeight)
 	// missingStep is the weight of a sample in the part of the samples that missed their goals,
 	// minMissing the part from which on an upstream counts as missing them.
 	missingStep = 0.5
@@ -27,7 +27,7 @@
 	// maxAge is the age of a sample beyond which it says nothing of an upstream now.
 	maxAge = 10 * time.Second
 	// deadBand is the factor up to which an upstream counts as usual.
-	deadBand = 1.1
+	deadBand = 1.15
 	// Notable is the factor from which on an upstream differs from the usual.
 	Notable = 1.2
 )
@@ -58,11 +58,10 @@
 // from all nodes together.
 type Estimator struct {
 	group *Group
-	// mean is the mean of the logarithms of the stretches, weight the weight of the samples
-	// in it at the time of the latest one.
-	mean, weight float64
-	samples      int
-	latest       time.Time
+	// lasting and latest are means of the logarithms of the stretches, as of sampledAt.
+	lasting, latest mean
+	samples         int
+	sampledAt       time.Time
 	// missing is the moving average of the part of the samples that missed their goals.
 	missing float64
 	room    room
@@ -76,23 +75,30 @@
 		s.At = now
 	}
 	x := math.Log(s.Stretch)
-	if math.IsNaN(x) || math.IsNaN(s.Weight) || math.IsNaN(s.Load) || e.latest.Sub(s.At) > maxAge {
+	if math.IsNaN(x) || math.IsNaN(s.Weight) || math.IsNaN(s.Load) || e.sampledAt.Sub(s.At) > maxAge {
 		return
 	}
 	x = min(max(x, -logMaxStretch), logMaxStretch)
+	s.Load = min(max(s.Load, 0), 1)
 	e.age(s.At)
 	e.samples++
 	if w := min(max(s.Weight, 0), 1); w > 0 {
-		e.weight = min(e.weight+w, maxWeight)
-		e.mean += w / e.weight * (x - e.mean)
+		e.lasting.add(x, w, lastingWeight)
+		e.latest.add(x, w, latestWeight)
 	}
-	s.Load = min(max(s.Load, 0), 1)
+	e.observeGoal(s, x)
+}
+
+// observeGoal changes the room by whether a sample with the given logarithm of its stretch met its
+// goal.
+func (e *Estimator) observeGoal(s Sample, x float64) {
 	missed := 0.0
 	if s.Missed {
 		missed = 1
 	}
 	e.missing += missingStep * (missed - e.missing)
-	if s.Missed && !e.group.overloaded && fullShrinkage*(x-logNotable) >= e.group.usual {
+	slower := min(x, e.latest.value)-e.group.usual >= logNotable
+	if s.Missed && slower && !e.group.overloaded {
 		e.room.missed(s)
 		return
 	}
@@ -101,11 +107,13 @@
 
 // age lets the older samples lose weight until a time.
 func (e *Estimator) age(at time.Time) {
-	if !at.After(e.latest) {
+	if !at.After(e.sampledAt) {
 		return
 	}
-	e.weight *= halved(at.Sub(e.latest), memory)
-	e.latest = at
+	left := halved(at.Sub(e.sampledAt), memory)
+	e.lasting.weight *= left
+	e.latest.weight *= left
+	e.sampledAt = at
 }
 
 // halved returns the part that is left of a quantity after a time in which it is halved each
@@ -114,13 +122,22 @@
 	return math.Exp2(-float64(max(elapsed, 0)) / float64(halfLife))
 }
 
-// stretch returns the logarithm of the estimated stretch, 0 if there are too few samples.
+// stretch returns the logarithm of the estimated stretch, 0 if there are too few samples. A
+// difference counts as far as it lasts and is still there: noise that lasts for a few samples is
+// none, and an upstream that has recovered is as usual.
 func (e *Estimator) stretch(now time.Time) float64 {
 	if e.samples < minSamples {
 		return 0
 	}
-	weight := e.weight * halved(now.Sub(e.latest), memory)
-	return e.mean * weight / (weight + priorWeight)
+	elapsed := now.Sub(e.sampledAt)
+	lasting, latest := e.lasting.shrunk(elapsed), e.latest.shrunk(elapsed)
+	if lasting*latest <= 0 {
+		return 0
+	}
+	if math.Abs(lasting) < math.Abs(latest) {
+		return lasting
+	}
+	return latest
 }
 
 func (e *Estimator) refresh(now time.Time) {
@@ -155,8 +172,8 @@
 
 // Age returns the age of the latest sample, 0 if there is none.
 func (e *Estimator) Age(now time.Time) time.Duration {
-	if e.latest.IsZero() {
+	if e.sampledAt.IsZero() {
 		return 0
 	}
-	return max(now.Sub(e.latest), 0)
+	return max(now.Sub(e.sampledAt), 0)
 }
--- a/internal/core/capacity/room.go
+++ b/internal/core/capacity/room.go
@@ -16,7 +16,7 @@
 	// probeDelay is the time after a decrease in which the room stays below the ceiling.
 	probeDelay = time.Second
 	// missesToCut is the number of missed goals, less those met, that lower the room.
-	missesToCut = 2
+	missesToCut = 4
 	// roomMemory is the time after which half of the missing room is given back if no samples
 	// arrive.
 	roomMemory = 8 * time.Second
--- a/internal/core/placement/learned.go
+++ b/internal/core/placement/learned.go
@@ -25,9 +25,10 @@
 	// goalPart is the part of a route's goal that is left for the upstream. The rest is for
 	// waiting at the node and for the network.
 	goalPart = 0.8
-	// minLearnWeight is the least weight of a sample of an engine, for prompts of which little
-	// is left to prefill.
-	minLearnWeight = 0.2
+	// minLearnWeight is the least part of the time to an engine's first event that has to be
+	// the prefill of the request's own prompt. The time of those ahead of it shows little: it
+	// depends on what peers have placed there unheard.
+	minLearnWeight = 0.5
 )
 
 // learner learns how much work the upstreams take well.
@@ -162,8 +163,10 @@
 	if took <= 0 {
 		return
 	}
-	weight := max(float64(prefill)/float64(usual), minLearnWeight)
-	s.learn(now, m, r.learning, took, float64(took)/float64(usual), weight)
+	weight := float64(speed.PrefillTime(r.Prefill)) / float64(usual)
+	if weight >= minLearnWeight {
+		s.learn(now, m, r.learning, took, float64(took)/float64(usual), weight)
+	}
 }
 
 // learnWhole learns from the time of a whole answer of a plain service.
@@ -241,22 +244,20 @@
 	return stated
 }
 
-// recordSlowdown records how long work takes on an upstream's machine at the moment, as it states
-// itself; 0 if it states nothing.
-func (s *Set) recordSlowdown(now time.Time, m *member, slowdown float64) {
-	if slowdown <= 0 || m.learned == nil {
-		return
+// learnReporting records that an upstream of a service has reported how long work takes there.
+func (s *Set) learnReporting(m *member, r Report) {
+	if r.Slowdown > 0 && m.learned != nil {
+		s.learner.services[m.Service].reports = true
 	}
-	m.slowdown, m.slowdownAt = slowdown, now
-	s.learner.services[m.Service].reports = true
 }
 
-// statedSlowdown returns what an upstream has stated last of its machine, 0 if that is too old.
+// statedSlowdown returns how long work takes on an upstream's machine as it has stated last, 0 if
+// that is too old.
 func (m *member) statedSlowdown(now time.Time) float64 {
-	if now.Sub(m.slowdownAt) >= reportMaxAge {
+	if now.Sub(m.reportedAt) >= reportMaxAge {
 		return 0
 	}
-	return m.slowdown
+	return m.report.Slowdown
 }
 
 // observeOwn adds a sample of this node, and shares it if it tells peers something.
--- a/internal/core/placement/load.go
+++ b/internal/core/placement/load.go
@@ -108,8 +108,8 @@
 	if r == nil || r.Prefill == 0 {
 		return
 	}
-	r.Prefill = 0
 	s.learnPrefill(now, m, r)
+	r.Prefill = 0
 	s.estimator(m.Service).observe(r.prefillTokens, r.batchSize, now.Sub(r.placedAt))
 }
 
--- a/internal/core/placement/report.go
+++ b/internal/core/placement/report.go
@@ -19,6 +19,7 @@
 		return
 	}
 	m.report, m.reportedAt = r, now
+	s.learnReporting(m, r)
 }
 
 // LatestReport returns an upstream's latest report and when it arrived, zero if it has sent none.
--- a/internal/core/placement/set.go
+++ b/internal/core/placement/set.go
@@ -47,10 +47,6 @@
 	placed int
 	// learned estimates how much work the upstream takes well, nil if that is not learned.
 	learned *capacity.Estimator
-	// slowdown is the time that work takes on the upstream's machine at slowdownAt, as a
-	// multiple of the usual, as it states itself.
-	slowdown   float64
-	slowdownAt time.Time
 	// logged is what was logged last of it.
 	logged loggedCapacity
 }
--- a/internal/run/settings/settings_test.go
+++ b/internal/run/settings/settings_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"monsoonlanding/internal/core/placement"
 )
 
 func TestExampleIsValid(t *testing.T) {
@@ -60,6 +62,25 @@
 	c.Assert(problems, qt.HasLen, 0)
 	c.Assert(s.Bounds.RetrySlack, qt.Equals, 54.0)
 	c.Assert(s.Bounds.Lease.Duration, qt.Equals, 3*time.Second)
+	c.Assert(s.Placement.Learn, qt.Equals, placement.LearnOff)
+}
+
+// TestGatewayLearning: what is learned of upstreams is off unless a settings file says otherwise.
+func TestGatewayLearning(t *testing.T) {
+	c := qt.New(t)
+	for _, learn := range []placement.Learning{placement.LearnOff, placement.LearnReported, placement.LearnOn} {
+		s, problems := ParseGateway("[placement]\nlearn = \"" + string(learn) + "\"\n")
+		c.Assert(s.Placement.Learn, qt.Equals, learn)
+		for _, p := range problems {
+			c.Assert(p.Key, qt.Not(qt.Equals), "placement.learn")
+		}
+	}
+	_, problems := ParseGateway("[placement]\nlearn = \"some\"\n")
+	found := false
+	for _, p := range problems {
+		found = found || p.Key == "placement.learn" && p.Line == 2
+	}
+	c.Assert(found, qt.IsTrue)
 }
 
 func TestGatewayAllProblemsReported(t *testing.T) {
--- a/internal/tool/emulator/caller.go
+++ b/internal/tool/emulator/caller.go
@@ -241,6 +241,7 @@
 		t.Served++
 	}
 	latency := s.now.Sub(c.firstSubmitted)
+	s.report.Latencies[c.kind.Route] = append(s.report.Latencies[c.kind.Route], latency)
 	for _, t := range []*Tally{s.report.Kinds[c.kind.Route], s.report.Teams[c.team], s.secondTally(c)} {
 		if latency <= c.kind.LatencyGoal {
 			t.InTime++
--- a/internal/tool/emulator/engine.go
+++ b/internal/tool/emulator/engine.go
@@ -43,6 +43,8 @@
 	// cached holds the time of last use of each cached shared part. It is nil
 	// for a plain service.
 	cached map[string]time.Time
+	// slowdown returns how long work takes now, as a multiple of the usual.
+	slowdown func(now time.Time, u *upstream) float64
 	// slotFreeAt holds the time at which each slot of a plain service is free.
 	slotFreeAt []time.Time
 }
@@ -81,7 +83,7 @@
 		}
 		u.cached[part.ID] = now
 	}
-	prefillTime := time.Duration(float64(prefilled) / u.prefillRate * float64(time.Second))
+	prefillTime := time.Duration(float64(prefilled) / u.prefillRate * u.slowdown(now, u) * float64(time.Second))
 	u.prefillEnd = later(u.prefillEnd, now).Add(prefillTime)
 	begin = u.prefillEnd.Add(firstEventDelay)
 	// Concurrent prefill delays the generation steps; the model takes half of
@@ -98,7 +100,8 @@
 			earliest = i
 		}
 	}
-	end = later(u.slotFreeAt[earliest], now).Add(plainDuration)
+	duration := time.Duration(float64(plainDuration) * u.slowdown(now, u))
+	end = later(u.slotFreeAt[earliest], now).Add(duration)
 	u.slotFreeAt[earliest] = end
 	return end, end, 0
 }
--- a/internal/tool/emulator/nodes.go
+++ b/internal/tool/emulator/nodes.go
@@ -33,8 +33,9 @@
 	return gateway.Config{
 		Node: nodeName(i), Start: s.now.UnixNano(), Zone: zone(i),
 		CallerAddress: nodeName(i), PeerAddress: nodeName(i), FirstStart: firstStart,
-		Cost:   s.setup.Cost,
-		Bounds: s.setup.Bounds,
+		Cost:     s.setup.Cost,
+		Learning: s.setup.Learning,
+		Bounds:   s.setup.Bounds,
 	}
 }
 
--- a/internal/tool/emulator/pattern.go
+++ b/internal/tool/emulator/pattern.go
@@ -68,6 +68,9 @@
 	Limits *UpstreamLimits
 	// Pausing are upstreams that ask for pauses; nil for none.
 	Pausing *PausingUpstreams
+	// Slowdown returns how long work takes at an upstream at a time, as a multiple of the usual;
+	// load is the part of its slots that is in use. nil means 1.
+	Slowdown func(upstream string, at time.Duration, load float64) float64
 	// RestartAt is when all nodes restart without state; zero is never.
 	RestartAt time.Duration
 }
--- a/internal/tool/emulator/report.go
+++ b/internal/tool/emulator/report.go
@@ -1,11 +1,19 @@
 package emulator
 
-import "monsoonlanding/internal/core/gateway"
+import (
+	"slices"
+	"time"
+
+	"monsoonlanding/internal/core/gateway"
+)
 
 // Report is the outcome of a run as callers and engines observe it.
 type Report struct {
 	// Kinds is by route, Teams by team; each counts callers, not submissions.
 	Kinds, Teams map[string]*Tally
+	// Latencies holds the times from the first submission to the beginning of the answer, by
+	// route.
+	Latencies map[string][]time.Duration
 	// Refusals counts refused submissions by reason.
 	Refusals map[gateway.Reason]int
 	// RefusedWithCapacity counts refusals for overload while more than half of
@@ -42,6 +50,15 @@
 	return earned / max(maximum, 1)
 }
 
+// P99 returns the time within which 99 in 100 of the answers of a route have begun.
+func (r *Report) P99(route string) time.Duration {
+	sorted := slices.Sorted(slices.Values(r.Latencies[route]))
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[len(sorted)*99/100]
+}
+
 // Tally counts callers by outcome.
 type Tally struct {
 	Callers, InTime, Late, Refused, Failed int
--- a/internal/tool/emulator/run.go
+++ b/internal/tool/emulator/run.go
@@ -47,6 +47,8 @@
 	// Quota is the rate of each team's quota in tokens per second, and also its
 	// burst in tokens; 0 is no quota.
 	Quota float64
+	// Learning selects the services of which the nodes learn how much work each upstream takes.
+	Learning placement.Learning
 	// Bounds are the nodes' limits.
 	Bounds gateway.Bounds
 	// Result, if set, is applied to the result of each attempt before the node
@@ -152,8 +154,8 @@
 		storedQuarantine: gateway.QuarantineRead{Done: true},
 		report: &Report{
 			Kinds: make(map[string]*Tally), Teams: make(map[string]*Tally),
-			Refusals: make(map[gateway.Reason]int),
-			Seconds:  make([]Tally, int(pattern.Length/time.Second)),
+			Refusals: make(map[gateway.Reason]int), Latencies: make(map[string][]time.Duration),
+			Seconds: make([]Tally, int(pattern.Length/time.Second)),
 		},
 	}
 	config := s.config()
@@ -184,7 +186,16 @@
 
 func zone(i int) string { return fmt.Sprint("zone-", i%zoneCount) }
 
+// slowdown returns how long work takes at an upstream now, as a multiple of the usual.
+func (s *simulation) slowdown(now time.Time, u *upstream) float64 {
+	if s.pattern.Slowdown == nil {
+		return 1
+	}
+	return s.pattern.Slowdown(u.ID, now.Sub(startTime), float64(u.running)/float64(u.Slots))
+}
+
 func (s *simulation) add(u *upstream) {
+	u.slowdown = s.slowdown
 	s.upstreams = append(s.upstreams, u)
 	s.byID[u.ID] = u
 }
