--- a/internal/core/capacity/estimator.go
+++ b/internal/core/capacity/estimator.go
@@ -11,9 +11,9 @@
 	maxStretch = 4
 	// lastingWeight is the weight of all samples together, in samples, in the mean that shows
 	// whether a difference lasts. latestWeight is that in the mean that shows whether it is
-	// still there; it follows a change within six samples.
+	// still there; it follows a change within three samples.
 	lastingWeight = 30.0
-	latestWeight  = 5.0
+	latestWeight  = 2.5
 	// priorWeight is the weight of the assumption that an upstream is as usual, in samples.
 	priorWeight = 1.0
 	// missingStep is the weight of a sample in the part of the samples that missed their goals,
@@ -23,7 +23,7 @@
 	// minSamples is the number of samples below which an upstream counts as usual.
 	minSamples = 3
 	// memory is the time after which samples weigh half if no others follow.
-	memory = 4 * time.Second
+	memory = 8 * time.Second
 	// maxAge is the age of a sample beyond which it says nothing of an upstream now.
 	maxAge = 10 * time.Second
 	// deadBand is the factor up to which an upstream counts as usual.
@@ -157,6 +157,10 @@
 // Room returns the fraction of its slots up to which the upstream takes work well.
 func (e *Estimator) Room() float64 { return e.whole }
 
+// IsSlow reports whether the upstream is slower than the usual by a fifth or more, or takes less
+// than its slots by as much.
+func (e *Estimator) IsSlow() bool { return e.factor >= Notable || e.whole <= 1/Notable }
+
 // Differs reports whether the upstream differs from the usual by a fifth or more.
 func (e *Estimator) Differs() bool {
 	return math.Abs(math.Log(e.factor)) >= logNotable || e.whole <= 1/Notable
--- a/internal/core/capacity/group.go
+++ b/internal/core/capacity/group.go
@@ -16,6 +16,7 @@
 	// overloaded is set while more than half of the members miss their goals: that is a load, and no
 	// upstream's room is to blame.
 	overloaded  bool
+	hasSlow     bool
 	refreshedAt time.Time
 	// buffer is reused between two refreshes.
 	buffer []float64
@@ -41,11 +42,16 @@
 	g.refreshedAt = now
 	g.usual = g.median(now)
 	g.overloaded = g.isOverloaded()
+	g.hasSlow = false
 	for _, e := range g.members {
 		e.refresh(now)
+		g.hasSlow = g.hasSlow || e.IsSlow()
 	}
 }
 
+// HasSlow reports whether a member is slow.
+func (g *Group) HasSlow() bool { return g.hasSlow }
+
 func (g *Group) isOverloaded() bool {
 	missing := 0
 	for _, e := range g.members {
--- a/internal/core/capacity/room.go
+++ b/internal/core/capacity/room.go
@@ -40,8 +40,9 @@
 // missed takes a sample that missed its goal.
 func (r *room) missed(s Sample) {
 	r.age(s.At)
-	if s.Load > r.limit {
-		// More than the room was placed there: that it is late is no news.
+	if s.Load > r.limit || s.Load < minRoom {
+		// More than the room was placed there: that it is late is no news. Nearly idle, the
+		// upstream is slow at any load, which is not a matter of its room.
 		return
 	}
 	r.misses++
@@ -62,7 +63,7 @@
 	if s.Load >= r.ceiling {
 		r.ceiling = 1
 	}
-	if r.limit >= 1 || s.Load < r.limit/2 {
+	if r.limit >= 1 || s.Load < r.limit/2 && r.limit > 2*minRoom {
 		return
 	}
 	highest := r.ceiling
--- a/internal/core/placement/cache.go
+++ b/internal/core/placement/cache.go
@@ -17,6 +17,9 @@
 	// beyondRoomCost is added for an upstream that runs as many requests as it takes well, so
 	// that any other one is preferred.
 	beyondRoomCost = 10 * time.Second
+	// probeBonus is taken off the cost of an upstream that is probed. It exceeds the wait that
+	// others have while their slots are free.
+	probeBonus = 100 * time.Millisecond
 	// unlistedCost is added for an upstream that is missing from the platform's
 	// list, so that any listed one is preferred.
 	unlistedCost = time.Minute
--- a/internal/core/placement/cost.go
+++ b/internal/core/placement/cost.go
@@ -14,6 +14,8 @@
 	Slower time.Duration
 	// BeyondRoom reports whether as many requests run there as it takes well.
 	BeyondRoom bool
+	// Probe is set if the request finds out whether the upstream is still slow.
+	Probe bool
 	// Running is the number of requests of all nodes that run there.
 	Running int
 	// TotalPlaced is the total number of requests that this node has sent there.
@@ -39,6 +41,9 @@
 		cost += beyondRoomCost
 	}
 	cost += time.Duration(c.Errors * float64(errorCost))
+	if c.Probe {
+		cost -= probeBonus
+	}
 	if c.OtherZone {
 		cost += otherZoneCost
 	}
--- a/internal/core/placement/learned.go
+++ b/internal/core/placement/learned.go
@@ -29,6 +29,11 @@
 	// the prefill of the request's own prompt. The time of those ahead of it shows little: it
 	// depends on what peers have placed there unheard.
 	minLearnWeight = 0.5
+	// probePart is the part of a service's requests that may be sent to slow upstreams as
+	// probes. It leaves most of the 5 in 100 that may be late.
+	probePart = 0.03
+	// probeAge is the age of the latest sample of an upstream from which on it is probed.
+	probeAge = 300 * time.Millisecond
 )
 
 // learner learns how much work the upstreams take well.
@@ -292,6 +297,19 @@
 	c.BeyondRoom = load.Running >= m.takes(m.slots(q)) && m.slots(q) > 0
 }
 
+// drawsProbe reports whether a request for a service may be sent to a slow upstream to find out
+// whether it still is: others have room, so that it might get none, and its recovery would not show.
+func (s *Set) drawsProbe(service string) bool {
+	l := s.learnedService(service)
+	return l != nil && l.group.HasSlow() && s.rng.Float64() < probePart
+}
+
+// needsProbe reports whether an upstream counts as slow, runs nothing and has given no sample for a
+// while.
+func (m *member) needsProbe(now time.Time, load UpstreamLoad) bool {
+	return load.Running == 0 && m.learned.IsSlow() && m.learned.Age(now) >= probeAge
+}
+
 // usualTime returns the longest of the usual times of the service's routes.
 func (l *learnedService) usualTime() time.Duration {
 	longest := time.Duration(0)
--- a/internal/core/placement/pick.go
+++ b/internal/core/placement/pick.go
@@ -47,6 +47,7 @@
 	reserved := s.reservedBelow(q)
 	speed := s.Speed(q.Service)
 	s.refreshLearned(now, q.Service)
+	probing := s.drawsProbe(q.Service)
 	for _, m := range s.sorted {
 		if !m.eligible(now, q, ejected) || !s.mayReceive(now, m) {
 			continue
@@ -56,6 +57,7 @@
 			continue
 		}
 		candidate := s.candidate(now, m, load, q, preferred, speed)
+		candidate.Probe = probing && m.needsProbe(now, load)
 		limit := q.MaxWait
 		if m.hash < reserved {
 			limit = min(limit, q.UrgentWait)
