--- a/internal/core/capacity/estimator.go
+++ b/internal/core/capacity/estimator.go
@@ -65,6 +65,8 @@
 	// missing is the moving average of the part of the samples that missed their goals.
 	missing float64
 	room    room
+	// asUsual is set if the latest sample was as usual.
+	asUsual bool
 	// factor and whole are the estimates as of the group's last refresh.
 	factor, whole float64
 }
@@ -86,6 +88,7 @@
 		e.lasting.add(x, w, lastingWeight)
 		e.latest.add(x, w, latestWeight)
 	}
+	e.asUsual = x-e.group.usual < logNotable
 	e.observeGoal(s, x)
 }
 
@@ -161,6 +164,9 @@
 // than its slots by as much.
 func (e *Estimator) IsSlow() bool { return e.factor >= Notable || e.whole <= 1/Notable }
 
+// MayHaveRecovered reports whether the latest sample of a slow upstream was as usual.
+func (e *Estimator) MayHaveRecovered() bool { return e.IsSlow() && e.asUsual }
+
 // Differs reports whether the upstream differs from the usual by a fifth or more.
 func (e *Estimator) Differs() bool {
 	return math.Abs(math.Log(e.factor)) >= logNotable || e.whole <= 1/Notable
--- a/internal/core/placement/cost.go
+++ b/internal/core/placement/cost.go
@@ -6,12 +6,12 @@
 type Candidate struct {
 	// Wait is the expected delay caused by requests placed there earlier.
 	Wait time.Duration
+	// Work is the usual time of the request's own work until its answer begins, Excess how much
+	// longer that takes there now than at the fastest upstream.
+	Work, Excess time.Duration
 	// Recompute is the time to prefill the shared prompt parts that are not in
 	// this upstream's cache.
 	Recompute time.Duration
-	// Slower is the time that the request itself takes there beyond the usual, negative at an
-	// upstream that is faster than usual.
-	Slower time.Duration
 	// BeyondRoom reports whether as many requests run there as it takes well.
 	BeyondRoom bool
 	// Probe is set if the request finds out whether the upstream is still slow.
@@ -29,6 +29,12 @@
 	Unlisted bool
 }
 
+// slowDown lets work at the candidate take a multiple of its usual time.
+func (c *Candidate) slowDown(factor float64) {
+	c.Wait = scale(c.Wait, factor)
+	c.Excess = scale(c.Work, factor-1)
+}
+
 // Cost returns the cost of a candidate; the one with the lowest cost is chosen.
 type Cost func(Candidate) time.Duration
 
@@ -36,7 +42,7 @@
 // time at an idle one that is in the node's own zone and has the shared prompt
 // parts cached. It includes the delay that the request causes to others there.
 func LeastTime(c Candidate) time.Duration {
-	cost := c.Wait + c.Slower + recomputeWeight*c.Recompute
+	cost := c.Wait + c.Excess + recomputeWeight*c.Recompute
 	if c.BeyondRoom {
 		cost += beyondRoomCost
 	}
--- a/internal/core/placement/learned.go
+++ b/internal/core/placement/learned.go
@@ -280,21 +280,19 @@
 	}
 }
 
-// applyLearned changes the inputs of the cost function by what is learned of an upstream. own is
-// the usual time to prefill the request there.
-func (s *Set) applyLearned(c *Candidate, m *member, load UpstreamLoad, q Query, own time.Duration) {
+// applyLearned changes the inputs of the cost function by what is learned of an upstream, and
+// returns the time of its work as a multiple of that of its service, 1 if it is not known.
+func (s *Set) applyLearned(c *Candidate, m *member, load UpstreamLoad, q Query) (factor float64) {
 	service := s.learnedService(m.Service)
 	if service == nil {
-		return
+		return 1
 	}
 	if q.Slots == 0 {
-		own = service.usualTime()
+		c.Work = max(c.Work, service.usualTime())
 	}
-	if factor := m.learned.Factor(); factor != 1 {
-		c.Wait = time.Duration(float64(c.Wait) * factor)
-		c.Slower = time.Duration(float64(own) * (factor - 1))
-	}
-	c.BeyondRoom = load.Running >= m.takes(m.slots(q)) && m.slots(q) > 0
+	slots := m.slots(q)
+	c.BeyondRoom = slots > 0 && load.Running >= m.takes(slots)
+	return m.learned.Factor()
 }
 
 // drawsProbe reports whether a request for a service may be sent to a slow upstream to find out
@@ -304,10 +302,13 @@
 	return l != nil && l.group.HasSlow() && s.rng.Float64() < probePart
 }
 
-// needsProbe reports whether an upstream counts as slow, runs nothing and has given no sample for a
-// while.
-func (m *member) needsProbe(now time.Time, load UpstreamLoad) bool {
-	return load.Running == 0 && m.learned.IsSlow() && m.learned.Age(now) >= probeAge
+// needsProbe reports whether a request is sent to a slow upstream as a probe: it runs nothing, and
+// its latest sample is old, if the request was drawn, or was as usual.
+func (m *member) needsProbe(now time.Time, load UpstreamLoad, drawn bool) bool {
+	if m.learned == nil || load.Running > 0 || !m.learned.IsSlow() {
+		return false
+	}
+	return m.learned.MayHaveRecovered() || drawn && m.learned.Age(now) >= probeAge
 }
 
 // usualTime returns the longest of the usual times of the service's routes.
--- a/internal/core/placement/pick.go
+++ b/internal/core/placement/pick.go
@@ -46,6 +46,7 @@
 	preferred := s.preferred(q)
 	reserved := s.reservedBelow(q)
 	speed := s.Speed(q.Service)
+	least := s.leastSlowdown(now, q, ejected)
 	s.refreshLearned(now, q.Service)
 	probing := s.drawsProbe(q.Service)
 	for _, m := range s.sorted {
@@ -57,7 +58,9 @@
 			continue
 		}
 		candidate := s.candidate(now, m, load, q, preferred, speed)
-		candidate.Probe = probing && m.needsProbe(now, load)
+		factor := s.applyLearned(&candidate, m, load, q)
+		candidate.Probe = m.needsProbe(now, load, probing)
+		candidate.slowDown(factor * m.slowdown(now) / least)
 		limit := q.MaxWait
 		if m.hash < reserved {
 			limit = min(limit, q.UrgentWait)
@@ -65,9 +68,7 @@
 		if limit > 0 && candidate.Wait > limit {
 			continue
 		}
-		// Jitter of up to 1 ms keeps the nodes from all choosing the same one of
-		// equal upstreams.
-		cost := s.cost(candidate) + time.Duration(s.rng.Int64N(int64(time.Millisecond)))
+		cost := s.cost(candidate) + s.jitter(q, m.slots(q))
 		if best == nil || cost < lowest {
 			best, lowest = m, cost
 		}
@@ -124,8 +125,7 @@
 // addition to its load.
 func (m *member) hasCapacity(load UpstreamLoad, q Query) bool {
 	if q.Slots == 0 {
-		// As many requests as run at a plain upstream may wait there.
-		return m.Slots == 0 || load.Running < 2*m.Slots
+		return m.Slots == 0 || load.Running < plainCapacity(m.Slots)
 	}
 	required := q.Prompt.InputTokens + q.Prompt.MaxOutputTokens
 	if load.Running >= q.Slots {
@@ -138,7 +138,7 @@
 // candidate returns the inputs of the cost function for an upstream.
 func (s *Set) candidate(now time.Time, m *member, load UpstreamLoad, q Query, preferred string, speed Speed) Candidate {
 	c := Candidate{
-		Wait:        load.wait(q, speed),
+		Wait:        m.wait(load, q, speed),
 		Running:     load.Running,
 		TotalPlaced: m.placed,
 		Errors:      m.errors,
@@ -146,7 +146,7 @@
 		Unlisted:    m.unlisted,
 	}
 	if q.Slots == 0 {
-		s.applyLearned(&c, m, load, q, 0)
+		c.Work = plainServiceTime
 		return c
 	}
 	shared := q.Prompt.SharedTokens()
@@ -157,7 +157,7 @@
 		cachedTokens = shared
 	}
 	c.Recompute = speed.PrefillTime(shared - cachedTokens)
-	s.applyLearned(&c, m, load, q, speed.PrefillTime(q.Prompt.InputTokens-cachedTokens))
+	c.Work = speed.PrefillTime(q.Prompt.InputTokens - cachedTokens)
 	return c
 }
 
--- a/internal/tool/emulator/report.go
+++ b/internal/tool/emulator/report.go
@@ -11,9 +11,9 @@
 type Report struct {
 	// Kinds is by route, Teams by team; each counts callers, not submissions.
 	Kinds, Teams map[string]*Tally
-	// Latencies holds the times from the first submission to the beginning of the answer, by
+	// RouteLatencies holds the times from the first submission to the beginning of the answer, by
 	// route.
-	Latencies map[string][]time.Duration
+	RouteLatencies map[string][]time.Duration
 	// Refusals counts refused submissions by reason.
 	Refusals map[gateway.Reason]int
 	// RefusedWithCapacity counts refusals for overload while more than half of
@@ -35,6 +35,8 @@
 	Cut CutReport
 	// Violations lists the guarantees that were violated.
 	Violations []string
+	// Latencies holds the latency to the first event of each answer.
+	Latencies []time.Duration
 	// Seconds counts callers by the second of their arrival.
 	Seconds []Tally
 }
@@ -52,7 +54,7 @@
 
 // P99 returns the time within which 99 in 100 of the answers of a route have begun.
 func (r *Report) P99(route string) time.Duration {
-	sorted := slices.Sorted(slices.Values(r.Latencies[route]))
+	sorted := slices.Sorted(slices.Values(r.RouteLatencies[route]))
 	if len(sorted) == 0 {
 		return 0
 	}
--- a/internal/tool/emulator/run.go
+++ b/internal/tool/emulator/run.go
@@ -154,7 +154,7 @@
 		storedQuarantine: gateway.QuarantineRead{Done: true},
 		report: &Report{
 			Kinds: make(map[string]*Tally), Teams: make(map[string]*Tally),
-			Refusals: make(map[gateway.Reason]int), Latencies: make(map[string][]time.Duration),
+			Refusals: make(map[gateway.Reason]int), RouteLatencies: make(map[string][]time.Duration),
 			Seconds: make([]Tally, int(pattern.Length/time.Second)),
 		},
 	}
@@ -186,16 +186,7 @@
 
 func zone(i int) string { return fmt.Sprint("zone-", i%zoneCount) }
 
-// slowdown returns how long work takes at an upstream now, as a multiple of the usual.
-func (s *simulation) slowdown(now time.Time, u *upstream) float64 {
-	if s.pattern.Slowdown == nil {
-		return 1
-	}
-	return s.pattern.Slowdown(u.ID, now.Sub(startTime), float64(u.running)/float64(u.Slots))
-}
-
 func (s *simulation) add(u *upstream) {
-	u.slowdown = s.slowdown
 	s.upstreams = append(s.upstreams, u)
 	s.byID[u.ID] = u
 }
