--- a/internal/tool/emulator/speeds_test.go
+++ b/internal/tool/emulator/speeds_test.go
@@ -14,21 +14,22 @@
 
 var learnedPlays = flag.Int("emulator.learned", 2, "plays of each row with upstreams of different speeds")
 
+// minInTime is the part of the callers that have to be served in time, by the stated target.
+const minInTime = 0.95
+
 // TestLearnedCapacity: upstreams that differ in speed, or slow down before they are full, got as much
-// work as the others. With what nodes learn, callers of a plain service that has room elsewhere are
-// served better, and nobody is served worse by more than one in a hundred.
+// work as the others, though those had room. With what nodes learn, 95 in 100 callers are served in
+// time where the others have room for that, and nobody is served worse by more than one in a hundred.
 func TestLearnedCapacity(t *testing.T) {
 	plain := func(s *Setup) { s.Nodes, s.PlainUpstreams = 12, 4 }
 	for _, row := range []struct {
 		pattern Pattern
 		change  func(*Setup)
-		// gain is the least part of all callers that are in time only with what is learned.
-		gain float64
 	}{
-		{Speeds(), func(*Setup) {}, -0.01},
-		{Steady(), func(*Setup) {}, -0.01},
-		{HalfSpeed(), plain, 0.02},
-		{SlowBeforeFull(), plain, 0.02},
+		{Speeds(), func(*Setup) {}},
+		{Steady(), func(*Setup) {}},
+		{ThirdSpeed(), plain},
+		{SlowBeforeFull(), plain},
 	} {
 		t.Run(row.pattern.Name, func(t *testing.T) {
 			c := qt.New(t)
@@ -45,8 +46,9 @@
 					c.Logf("seed %d, %s: in time %.3f, refused %d; %s", seed+1, learning, total.InTimeFraction(), total.Refused, byKind(r))
 				}
 			}
-			gain := inTime[placement.LearnOn] - inTime[placement.LearnOff]
-			c.Assert(gain >= row.gain, qt.IsTrue, qt.Commentf("%.3f", gain))
+			on, off := inTime[placement.LearnOn], inTime[placement.LearnOff]
+			c.Assert(on >= off-0.01, qt.IsTrue, qt.Commentf("%.3f on, %.3f off", on, off))
+			c.Assert(on >= minInTime, qt.IsTrue, qt.Commentf("%.3f on", on))
 		})
 	}
 }
