--- a/internal/core/capacity/estimator.go
+++ b/internal/core/capacity/estimator.go
@@ -67,8 +67,8 @@
 	room    room
 	// asUsual is set if the latest sample was as usual.
 	asUsual bool
-	// factor and whole are the estimates as of the group's last refresh.
-	factor, whole float64
+	// factor and available, the room, are the estimates as of the group's last refresh.
+	factor, available float64
 }
 
 // Observe adds a sample. One with an impossible time is ignored.
@@ -144,7 +144,7 @@
 }
 
 func (e *Estimator) refresh(now time.Time) {
-	e.factor, e.whole = 1, e.room.left(now)
+	e.factor, e.available = 1, e.room.left(now)
 	if e.samples < minSamples {
 		return
 	}
@@ -158,18 +158,18 @@
 func (e *Estimator) Factor() float64 { return e.factor }
 
 // Room returns the fraction of its slots up to which the upstream takes work well.
-func (e *Estimator) Room() float64 { return e.whole }
+func (e *Estimator) Room() float64 { return e.available }
 
 // IsSlow reports whether the upstream is slower than the usual by a fifth or more, or takes less
 // than its slots by as much.
-func (e *Estimator) IsSlow() bool { return e.factor >= Notable || e.whole <= 1/Notable }
+func (e *Estimator) IsSlow() bool { return e.factor >= Notable || e.available <= 1/Notable }
 
 // MayHaveRecovered reports whether the latest sample of a slow upstream was as usual.
 func (e *Estimator) MayHaveRecovered() bool { return e.IsSlow() && e.asUsual }
 
 // Differs reports whether the upstream differs from the usual by a fifth or more.
 func (e *Estimator) Differs() bool {
-	return math.Abs(math.Log(e.factor)) >= logNotable || e.whole <= 1/Notable
+	return math.Abs(math.Log(e.factor)) >= logNotable || e.available <= 1/Notable
 }
 
 // IsNotable reports whether a sample differs from what is usual for the service by a fifth or more.
--- a/internal/core/capacity/group.go
+++ b/internal/core/capacity/group.go
@@ -24,7 +24,7 @@
 
 // Add adds the estimator of an upstream.
 func (g *Group) Add() *Estimator {
-	e := &Estimator{group: g, room: newRoom(), factor: 1, whole: 1}
+	e := &Estimator{group: g, room: newRoom(), factor: 1, available: 1}
 	g.members = append(g.members, e)
 	return e
 }
