--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -41,6 +41,9 @@
 	Evacuates bool
 	// Cost ranks the upstreams; nil means placement.LeastTime.
 	Cost placement.Cost
+	// Learning selects the services of which it is learned how much work each upstream takes
+	// well; empty means placement.LearnOff.
+	Learning placement.Learning
 }
 
 // Bounds are the limits that the operators set for the deployment.
@@ -165,9 +168,11 @@
 	broadcastAt    time.Time
 	contactSeedsAt time.Time
 	pruneAt        time.Time
-	stopping       bool
-	stoppingSince  time.Time
-	drained        bool
+	// logCapacitiesAt is when changes of the upstreams' capacity are looked for next.
+	logCapacitiesAt time.Time
+	stopping        bool
+	stoppingSince   time.Time
+	drained         bool
 }
 
 // New returns a Gateway without configuration, upstreams and peers.
@@ -205,6 +210,7 @@
 		work:            make(map[string]*serviceWork),
 	}
 	g.upstreams = placement.New(cfg.Node, cfg.Zone, cfg.Cost, placement.Shares{Limit: g.limitShare, Slots: g.slotPart}, rng)
+	g.upstreams.Learn(cfg.Learning)
 	return g
 }
 
@@ -318,11 +324,13 @@
 }
 
 func (g *Gateway) settingsChanged(e SettingsChanged) {
-	if slices.Equal(g.cfg.Seeds, e.Seeds) && g.cfg.Bounds == e.Bounds {
+	if slices.Equal(g.cfg.Seeds, e.Seeds) && g.cfg.Bounds == e.Bounds && g.cfg.Learning == e.Learning {
 		return
 	}
 	g.cfg.Seeds = e.Seeds
 	g.cfg.Bounds = e.Bounds
+	g.cfg.Learning = e.Learning
+	g.upstreams.Learn(e.Learning)
 	g.log("settings", "settings reloaded", "seeds", len(e.Seeds))
 }
 
@@ -361,6 +369,7 @@
 	g.performDuties()
 	g.syncQuarantine()
 	g.checkDrained()
+	g.logCapacities()
 	if g.now.Before(g.pruneAt) {
 		return
 	}
--- a/internal/core/gateway/state.go
+++ b/internal/core/gateway/state.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 
+	"monsoonlanding/internal/core/placement"
 	"monsoonlanding/internal/core/quarantine"
 	"monsoonlanding/internal/core/quota"
 )
@@ -29,6 +30,8 @@
 	QuotaLeft map[string]float64 `json:"quota_left"`
 	// Quotas holds the quotas of the teams served here.
 	Quotas map[string]QuotaState `json:"quotas"`
+	// Capacity is what each upstream is held to take well, by ID.
+	Capacity map[string]placement.Capacity `json:"capacity,omitempty"`
 	// Quarantined is the number of crashes for each trait of requests that is
 	// refused because of them.
 	Quarantined map[quarantine.Trait]int `json:"quarantined"`
@@ -84,6 +87,12 @@
 	for _, service := range g.table.Services() {
 		s.Services[service.Name] = g.serviceState(service.Name)
 	}
+	for _, c := range g.upstreams.Capacities(g.now) {
+		if s.Capacity == nil {
+			s.Capacity = make(map[string]placement.Capacity)
+		}
+		s.Capacity[c.Upstream] = c
+	}
 	for name, q := range g.quotas {
 		s.QuotaLeft[name] = q.bucket.Level()
 		s.Quotas[name] = q.state()
--- a/internal/core/placement/contention.go
+++ b/internal/core/placement/contention.go
@@ -55,6 +55,13 @@
 	a.prefill.Observe(s.Speed(service).PrefillTime(prefill))
 }
 
+// recordHeld records the time for which an ended request has occupied a slot of its engine.
+func (s *Set) recordHeld(now time.Time, service string, r *activeRequest) {
+	if r.Memory > 0 {
+		s.arrivalsOf(service).held.Observe(now.Sub(r.placedAt))
+	}
+}
+
 // uncertainty returns the wait at an engine that requests which peers have placed there since
 // their latest reports are expected to cause. Costs that differ by less are equal for all that
 // this node knows. Peers are assumed to send as many requests as this node.
--- a/internal/core/placement/cost.go
+++ b/internal/core/placement/cost.go
@@ -12,6 +12,10 @@
 	// Recompute is the time to prefill the shared prompt parts that are not in
 	// this upstream's cache.
 	Recompute time.Duration
+	// BeyondRoom reports whether as many requests run there as it takes well.
+	BeyondRoom bool
+	// Probe is set if the request finds out whether the upstream is still slow.
+	Probe bool
 	// Running is the number of requests of all nodes that run there.
 	Running int
 	// TotalPlaced is the total number of requests that this node has sent there.
@@ -39,7 +43,13 @@
 // parts cached. It includes the delay that the request causes to others there.
 func LeastTime(c Candidate) time.Duration {
 	cost := c.Wait + c.Excess + recomputeWeight*c.Recompute
+	if c.BeyondRoom {
+		cost += beyondRoomCost
+	}
 	cost += time.Duration(c.Errors * float64(errorCost))
+	if c.Probe {
+		cost -= probeBonus
+	}
 	if c.OtherZone {
 		cost += otherZoneCost
 	}
--- a/internal/core/placement/load.go
+++ b/internal/core/placement/load.go
@@ -83,6 +83,7 @@
 		placedAt:      now,
 		prefillTokens: load.Prefill + uncached,
 		batchSize:     load.Running,
+		learning:      s.learningRequest(now, m),
 	}
 	m.touchParts(now, p)
 }
@@ -97,6 +98,7 @@
 	if r == nil || r.Prefill == 0 {
 		return
 	}
+	s.learnPrefill(now, m, r)
 	r.Prefill = 0
 	elapsed := scale(now.Sub(r.placedAt), 1/m.slowdown(now))
 	s.estimator(m.Service).observe(r.prefillTokens, r.batchSize, elapsed)
@@ -111,6 +113,7 @@
 	}
 	if r := m.running[request]; r != nil {
 		r.Prefill = 0
+		r.learning = learningRequest{}
 	}
 }
 
--- a/internal/core/placement/pick.go
+++ b/internal/core/placement/pick.go
@@ -48,6 +48,8 @@
 	speed := s.Speed(q.Service)
 	least := s.leastSlowdown(now, q, ejected)
 	jitter := s.maxJitter(now, q)
+	s.refreshLearned(now, q.Service)
+	probing := s.drawsProbe(q.Service)
 	for _, m := range s.sorted {
 		if !m.eligible(now, q, ejected) || !s.mayReceive(now, m) {
 			continue
@@ -57,7 +59,9 @@
 			continue
 		}
 		candidate := s.candidate(now, m, load, q, preferred, speed)
-		candidate.slowDown(m.slowdown(now) / least)
+		factor := s.applyLearned(&candidate, m, load, q)
+		candidate.Probe = m.needsProbe(now, load, probing)
+		candidate.slowDown(factor * m.slowdown(now) / least)
 		limit := q.MaxWait
 		if m.hash < reserved {
 			limit = min(limit, q.UrgentWait)
--- a/internal/tool/emulator/caller.go
+++ b/internal/tool/emulator/caller.go
@@ -242,6 +242,7 @@
 	}
 	latency := s.now.Sub(c.firstSubmitted)
 	s.report.Latencies = append(s.report.Latencies, latency)
+	s.report.RouteLatencies[c.kind.Route] = append(s.report.RouteLatencies[c.kind.Route], latency)
 	for _, t := range []*Tally{s.report.Kinds[c.kind.Route], s.report.Teams[c.team], s.secondTally(c)} {
 		if latency <= c.kind.LatencyGoal {
 			t.InTime++
--- a/internal/tool/emulator/report.go
+++ b/internal/tool/emulator/report.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"slices"
 	"time"
 
 	"monsoonlanding/internal/core/gateway"
@@ -10,6 +11,9 @@
 type Report struct {
 	// Kinds is by route, Teams by team; each counts callers, not submissions.
 	Kinds, Teams map[string]*Tally
+	// RouteLatencies holds the times from the first submission to the beginning of the answer, by
+	// route.
+	RouteLatencies map[string][]time.Duration
 	// Refusals counts refused submissions by reason.
 	Refusals map[gateway.Reason]int
 	// RefusedWithCapacity counts refusals for overload while more than half of
@@ -48,6 +52,15 @@
 	return earned / max(maximum, 1)
 }
 
+// P99 returns the time within which 99 in 100 of the answers of a route have begun.
+func (r *Report) P99(route string) time.Duration {
+	sorted := slices.Sorted(slices.Values(r.RouteLatencies[route]))
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[len(sorted)*99/100]
+}
+
 // Tally counts callers by outcome.
 type Tally struct {
 	Callers, InTime, Late, Refused, Failed int
--- a/internal/tool/emulator/slow.go
+++ b/internal/tool/emulator/slow.go
@@ -24,6 +24,9 @@
 // slowdownOf returns how long work takes now on an upstream's machine, as a multiple of the usual
 // time. The machines are slow at different times: once in each cycle, at a random moment of it.
 func (s *simulation) slowdownOf(u *upstream) float64 {
+	if s.pattern.Slowdown != nil {
+		return s.pattern.Slowdown(u.ID, s.now.Sub(startTime), float64(u.running)/float64(u.Slots))
+	}
 	m := s.pattern.Slow
 	if m == nil || u.Service != m.Service || m.Fraction <= 0 {
 		return 1
