core, platform: a limit of requests a second for cold upstreams

Cause: an upstream that has just started, or has lost its caches, tolerates few requests a second from all nodes together and crashes above. Nothing read that it is cold, so each node sent what it thought bearable.

Change: the store's entries and answers tell for how long an upstream stays cold, watchers' changes and statuses (field 38) tell the peers. While it is cold, the first nodes of a rendezvous order of the store's list of nodes send to it, at a pace at which all together stay within the bound in any second. The order needs no contact; changes of the list make nodes only more cautious at first. Placement counts a cold upstream as slow by half of the route's goal. A request that finds only cold upstreams without room is passed on or refused at once with the time until there is room. Switched on by the service's rate in the configuration.

--- a/internal/core/gateway/dispatch.go
+++ b/internal/core/gateway/dispatch.go
@@ -48,6 +48,9 @@
 		prompt = placement.Prompt{}
 	}
 	load, pauseLeft := g.upstreams.Load(u.ID), g.upstreams.PauseLeft(g.now, u)
+	if g.upstreams.ColdLeft(g.now, u.ID) > 0 {
+		g.count(CountCold, u.Service)
+	}
 	g.upstreams.RecordStart(g.now, u.ID, r.conn, prompt)
 	if from != (KVCache{}) {
 		g.upstreams.RecordCacheMove(u.ID, r.conn)
@@ -84,7 +87,7 @@
 const lowestUrgency = 9
 
 func (g *Gateway) query(r *request, service *route.Service) placement.Query {
-	q := placement.Query{Service: r.service, Exclude: r.exclude}
+	q := placement.Query{Service: r.service, Exclude: r.exclude, ColdCost: g.coldCost(r)}
 	g.chooseVersion(&q, r)
 	if service.Engine == nil {
 		return q
--- a/internal/core/gateway/effect.go
+++ b/internal/core/gateway/effect.go
@@ -185,6 +185,8 @@
 	CountAnswer Counter = "gateway_answers"
 	// CountExtra counts copies of earlier answers that came where another one was expected.
 	CountExtra Counter = "gateway_extra_answers"
+	// CountCold counts the requests to cold upstreams by service.
+	CountCold Counter = "gateway_cold_requests"
 )
 
 // ExtraSkipped is the only label of CountExtra.
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -59,6 +59,10 @@
 	// delay.
 	QuotaOver  float64
 	QuotaSlack float64
+	// A cold upstream may get ColdOver times the requests a second that it tolerates, plus
+	// ColdSlack, from all nodes together.
+	ColdOver  float64
+	ColdSlack float64
 	// ReportsUsage and OrdersFleet select the lease holder's duties that the
 	// platform supports.
 	ReportsUsage bool
@@ -122,6 +126,7 @@
 	members map[string]*member
 	// memberOrder holds the members in order of name.
 	memberOrder []*member
+	roster      roster
 	// nodesKnown is set if the latest list of nodes named this node and no unknown one.
 	nodesKnown bool
 	// forwardTurns holds the latest status to each zone in which statuses are forwarded.
@@ -173,6 +178,7 @@
 		retryBudgets:  make(map[string]*retryBudget),
 		quarantine:    quarantine.New(),
 		goals:         make(goals),
+		roster:        newRoster(),
 		members:       make(map[string]*member),
 		forwardTurns:  make(map[string]forwardTurn),
 		quotas:        make(map[string]*teamQuota),
@@ -183,7 +189,7 @@
 		paces:         make(map[string]*routePace),
 		work:          make(map[string]*average.Rate),
 	}
-	g.upstreams = placement.New(cfg.Node, cfg.Zone, cfg.Cost, placement.Shares{Limit: g.limitShare, Slots: g.slotPart}, rng)
+	g.upstreams = placement.New(cfg.Node, cfg.Zone, cfg.Cost, placement.Shares{Limit: g.limitShare, Slots: g.slotPart, Cold: g.coldShare, LimitsCold: g.limitsCold}, rng)
 	return g
 }
 
@@ -311,6 +317,7 @@
 func (g *Gateway) tick() {
 	g.relistAfterReturn()
 	g.removeMissing()
+	g.logColdChanges("time")
 	g.judge()
 	g.checkPaths()
 	g.refuseOverdue()
--- a/internal/core/gateway/limit.go
+++ b/internal/core/gateway/limit.go
@@ -59,7 +59,7 @@
 		count = min(count, g.slotsInContact(u.Slots))
 	}
 	var nodes []string
-	for _, m := range g.members {
+	for _, m := range g.mayShare(u) {
 		if g.inContact(m) && sharesUpstreams(m) {
 			nodes = append(nodes, m.node)
 		}
@@ -68,6 +68,21 @@
 	return nodes[:min(count, len(nodes))]
 }
 
+// mayShare returns the members that may have a share of an upstream, of a cold one only those that
+// have one by the roster.
+func (g *Gateway) mayShare(u placement.Shared) []*member {
+	if !u.Cold {
+		return g.sortedMembers()
+	}
+	var list []*member
+	for _, node := range g.coldSharersOf(u.ID) {
+		if m := g.members[node]; m != nil {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
 // slots returns the number of slots of a service's engines, 0 for a plain service.
 func (g *Gateway) slots(service string) int {
 	if s, ok := g.table.Service(service); ok && s.Engine != nil {
--- a/internal/core/gateway/members.go
+++ b/internal/core/gateway/members.go
@@ -152,6 +152,7 @@
 // nodesListed processes the platform's list of nodes. Silent members that it no
 // longer contains are removed.
 func (g *Gateway) nodesListed(e NodesListed) {
+	g.readRoster(e)
 	listed := make(map[string]bool, len(e.Nodes))
 	before := len(g.members)
 	for _, n := range e.Nodes {
--- a/internal/core/gateway/move.go
+++ b/internal/core/gateway/move.go
@@ -64,7 +64,7 @@
 	if source.State != placement.StateDraining || !g.canCopyCache(source) {
 		return
 	}
-	if !g.upstreams.Admits(g.now, source) {
+	if !g.upstreams.Admits(g.now, source) || g.upstreams.ColdRoomIn(g.now, source.ID) > 0 {
 		g.evacuateLater[source.ID] = true
 		return
 	}
@@ -126,7 +126,7 @@
 	query.Version, query.NotVersion = source.Version, ""
 	target, ok := g.upstreams.Pick(g.now, query)
 	if !ok {
-		if g.upstreams.CountPaused(g.now, r.service) > 0 {
+		if g.upstreams.CountPaused(g.now, r.service) > 0 || g.upstreams.CountCold(g.now, r.service) > 0 {
 			g.evacuateLater[source.ID] = true
 		}
 		return false
@@ -217,10 +217,10 @@
 	ended Ended
 }
 
-// continueRun continues a stopped run. If the upstream has asked for a pause, a stream that can
-// be resumed elsewhere is; another one waits for the end of the pause if it may be served then.
+// continueRun continues a stopped run. If the upstream has asked for a pause, or is cold and has no
+// room, a stream that can be resumed elsewhere is; another one waits if it may be served then.
 func (g *Gateway) continueRun(r *request, run stoppedRun) {
-	left := g.upstreams.PauseLeft(g.now, run.upstream)
+	left := max(g.upstreams.PauseLeft(g.now, run.upstream), g.upstreams.ColdRoomIn(g.now, run.upstream.ID))
 	switch {
 	case left == 0:
 		r.stopped = nil
@@ -230,7 +230,7 @@
 		g.afterRun(r, run.ended)
 	default:
 		r.stopped = &run
-		g.logRequest(r, "wait", "stopped run waits for a pause of its upstream to end", "upstream", run.upstream.ID, "left_ms", left.Milliseconds())
+		g.logRequest(r, "wait", "stopped run waits until its upstream takes requests", "upstream", run.upstream.ID, "left_ms", left.Milliseconds())
 	}
 }
 
@@ -250,7 +250,7 @@
 	}
 	slices.SortFunc(stopped, byArrival)
 	for _, r := range stopped {
-		if g.upstreams.Admits(g.now, r.stopped.upstream) {
+		if u := r.stopped.upstream; g.upstreams.Admits(g.now, u) && g.upstreams.ColdRoomIn(g.now, u.ID) == 0 {
 			g.continueRun(r, *r.stopped)
 		}
 	}
--- a/internal/core/gateway/platform.go
+++ b/internal/core/gateway/platform.go
@@ -35,6 +35,7 @@
 		g.setPacked(e.Packed)
 	}
 	g.pruneQuotas()
+	g.logOddCold()
 	for _, q := range g.queues {
 		g.requeue(q)
 	}
@@ -71,6 +72,7 @@
 		}
 	}
 	g.sendDelta(delta)
+	g.logColdChanges("store")
 	g.dispatchQueues()
 }
 
@@ -88,6 +90,7 @@
 		g.removeUpstream(id, &delta)
 	}
 	g.sendDelta(delta)
+	g.logColdChanges("store")
 	g.dispatchQueues()
 }
 
@@ -147,6 +150,7 @@
 	}
 	g.knownRevision = d.At()
 	g.changedRevision = store.Latest(g.changedRevision, d.At())
+	g.logColdChanges(from)
 	g.dispatchQueues()
 }
 
@@ -169,12 +173,15 @@
 		}
 		u.State, u.StopsAt = old.State, old.StopsAt
 	}
-	if !known || returned || old.State != u.State || !old.StartedAt.Equal(u.StartedAt) || old.Address != u.Address {
+	changed := !known || returned || old.State != u.State || !old.StartedAt.Equal(u.StartedAt) || old.Address != u.Address
+	if changed {
 		g.log("upstream", "upstream listed", "upstream", u.ID, "service", u.Service, "zone", u.Zone,
 			"state", string(u.State), "revision", revision.Number, "reclaimable", u.Reclaimable, "version", u.Version)
-		delta.Put = append(delta.Put, u)
 	}
 	g.upstreams.Put(u)
+	if g.recordEntryCold(u, old) || changed {
+		delta.Put = append(delta.Put, u)
+	}
 	g.trackDraining(u)
 	g.evacuate(u)
 }
@@ -199,6 +206,7 @@
 func (g *Gateway) deleteUpstream(id string) {
 	delete(g.missing, id)
 	delete(g.drainingSince, id)
+	delete(g.roster.sharers, id)
 	if u, known := g.upstreams.Get(id); known {
 		g.departed[processID(u)] = g.now
 	}
--- a/internal/core/gateway/queue.go
+++ b/internal/core/gateway/queue.go
@@ -66,10 +66,11 @@
 		g.refuseForPauses(r)
 		return
 	}
-	if ready, usable := g.upstreams.Usable(g.now, r.service, g.slots(r.service)); len(usable) == 0 && !r.answerSent {
+	ready, usable := g.upstreams.Usable(g.now, r.service, g.slots(r.service))
+	if len(usable) == 0 && !r.answerSent || g.isRefusedForCold(r) {
 		// Other nodes use the limits, or the slots of brittle upstreams.
 		if !g.passOnToSharer(r, ready) {
-			g.refuse(r, ReasonOverload, g.retryAfter(minRetryAfter))
+			g.refuse(r, ReasonOverload, g.retryAfterCold(r, minRetryAfter))
 		}
 		return
 	}
--- a/internal/core/gateway/signals.go
+++ b/internal/core/gateway/signals.go
@@ -16,6 +16,8 @@
 	Leaving bool
 	// Pause is the time for which it wants no requests from this node, 0 if it names none.
 	Pause time.Duration
+	// ColdLeft is the time for which it stays cold, 0 if it names none.
+	ColdLeft time.Duration
 }
 
 // recordSignals records what an upstream says of itself in its answer to an exchange that began
@@ -36,6 +38,7 @@
 	if g.upstreams.RecordLimit(g.now, began, u.ID, s.RateLimit) {
 		g.log("limit", "limit of upstream changed", "upstream", u.ID, "named", s.RateLimit.Named, "per_s", s.RateLimit.PerSecond)
 	}
+	g.recordCold(u, s.ColdLeft)
 	if g.upstreams.RecordBrittle(g.now, began, u.ID, s.Brittle) {
 		g.log("limit", "brittleness of upstream changed", "upstream", u.ID, "brittle", s.Brittle.Named, "rejections_per_s", s.Brittle.PerSecond)
 	}
--- a/internal/core/gateway/state.go
+++ b/internal/core/gateway/state.go
@@ -28,7 +28,9 @@
 type ServiceState struct {
 	Upstreams int `json:"upstreams"`
 	// Paused is the number of upstreams that have asked this node for a pause.
-	Paused  int `json:"paused"`
+	Paused int `json:"paused"`
+	// Cold is the number of upstreams that tolerate few requests at the moment.
+	Cold    int `json:"cold"`
 	Waiting int `json:"waiting"`
 	Running int `json:"running"`
 	// Retries counts the retries in the current retry window.
@@ -61,7 +63,7 @@
 }
 
 func (g *Gateway) serviceState(service string) ServiceState {
-	s := ServiceState{Upstreams: g.upstreams.Count(service), Paused: g.upstreams.CountPaused(g.now, service)}
+	s := ServiceState{Upstreams: g.upstreams.Count(service), Paused: g.upstreams.CountPaused(g.now, service), Cold: g.upstreams.CountCold(g.now, service)}
 	for _, r := range g.requests {
 		switch {
 		case r.service != service:
--- a/internal/core/gateway/status.go
+++ b/internal/core/gateway/status.go
@@ -48,6 +48,7 @@
 		Unreached:         g.unreached(),
 		Reached:           g.reachedForPeers(),
 		Reaches:           g.reaches(),
+		Cold:              g.coldForPeers(),
 	}
 	if g.lease.Claims(g.now) {
 		s.LeaseToken = g.lease.FencingToken()
@@ -152,6 +153,7 @@
 	g.upstreams.SetPeerLoads(s.Node, upstreamLoads(s))
 	g.upstreams.MergeLimits(g.now, s.Limits)
 	g.upstreams.MergeBrittle(g.now, s.Brittle)
+	g.mergeCold(s)
 	g.departuresReported(s.Departed)
 	for _, process := range s.Leaving {
 		g.leaveAnnounced(process, s.Node)
--- a/internal/core/peer/status.go
+++ b/internal/core/peer/status.go
@@ -42,6 +42,8 @@
 	Limits []placement.ObservedLimit `cbor:"20,keyasint,omitempty"`
 	// Brittle holds the rejections a second that upstreams have said to the sender they bear.
 	Brittle []placement.ObservedLimit `cbor:"32,keyasint,omitempty"`
+	// Cold holds the upstreams that are cold by what the sender has read of them.
+	Cold []ColdUpstream `cbor:"38,keyasint,omitempty"`
 	// Quarantine is what the sender knows of requests that may crash upstreams.
 	Quarantine quarantine.Report `cbor:"19,keyasint"`
 	// UpstreamsRevision is the store's revision of the latest change to the
@@ -89,6 +91,12 @@
 	Status Status `cbor:"1,keyasint"`
 }
 
+// ColdUpstream is the process of an upstream that stays cold for a time.
+type ColdUpstream struct {
+	Process uint64        `cbor:"1,keyasint"`
+	Left    time.Duration `cbor:"2,keyasint"`
+}
+
 // ReachedUpstream is the process of an upstream, with the time since it has last answered.
 type ReachedUpstream struct {
 	Process uint64        `cbor:"1,keyasint"`
--- a/internal/core/placement/cost.go
+++ b/internal/core/placement/cost.go
@@ -20,6 +20,9 @@
 	// Unlisted reports whether its entry is currently missing from the
 	// platform's list of upstreams.
 	Unlisted bool
+	// Cold is the additional time that a request is expected to take there because the
+	// upstream is cold, 0 if it is not.
+	Cold time.Duration
 }
 
 // Cost returns the cost of a candidate; the one with the lowest cost is chosen.
@@ -29,7 +32,7 @@
 // time at an idle one that is in the node's own zone and has the shared prompt
 // parts cached. It includes the delay that the request causes to others there.
 func LeastTime(c Candidate) time.Duration {
-	cost := c.Wait + recomputeWeight*c.Recompute
+	cost := c.Wait + recomputeWeight*c.Recompute + c.Cold
 	cost += time.Duration(c.Errors * float64(errorCost))
 	if c.OtherZone {
 		cost += otherZoneCost
--- a/internal/core/placement/limit.go
+++ b/internal/core/placement/limit.go
@@ -31,6 +31,11 @@
 	// Slots returns the part of a brittle upstream's slots. The parts of all nodes add up to
 	// slots at most.
 	Slots func(upstream string, slots int) int
+	// Cold returns the part, in requests a second, of what an upstream of a service tolerates
+	// while it is cold. LimitsCold reports whether the upstreams of a service tolerate less
+	// then; it is nil if none do.
+	Cold       func(upstream, service string) float64
+	LimitsCold func(service string) bool
 }
 
 // ObservedLimit is a limit that an upstream has named to a node, or that it no
@@ -44,6 +49,11 @@
 // limiter keeps this node's requests to an upstream to its share of the limit.
 type limiter struct {
 	observed
+	bucket
+}
+
+// bucket is a token bucket that fills at this node's share of a limit.
+type bucket struct {
 	// tokens is the number of requests that this node may send, as of refilledAt.
 	tokens     float64
 	refilledAt time.Time
@@ -56,41 +66,47 @@
 func (l *limiter) observe(now, at time.Time, limit RateLimit) {
 	if limit.Named && !l.limit.Named {
 		// What was sent before the limit was known counts against it.
-		l.tokens, l.refilledAt, l.sharedAt = 0, now, time.Time{}
+		l.bucket = bucket{refilledAt: now}
 	}
 	l.limit, l.observedAt = limit, at
 }
 
-// refill adds the tokens of the time since the last call.
-func (l *limiter) refill(now time.Time, upstream string, shares Shares) {
-	if now.Sub(l.sharedAt) >= shareRefresh {
-		l.share, l.sharedAt = shares.Limit(upstream, max(l.limit.PerSecond, minLimit)), now
+// refillLimit adds the tokens of the time since the last call.
+func (s *Set) refillLimit(now time.Time, m *member) {
+	m.limiter.refill(now, func() float64 { return s.shares.Limit(m.ID, max(m.limiter.limit.PerSecond, minLimit)) })
+}
+
+// refill adds the tokens of the time since the last call, at this node's share.
+func (b *bucket) refill(now time.Time, share func() float64) {
+	if now.Sub(b.sharedAt) >= shareRefresh {
+		b.share, b.sharedAt = share(), now
 	}
-	l.tokens = min(l.tokens+l.share*now.Sub(l.refilledAt).Seconds(), limitBurst)
-	l.refilledAt = now
-	if l.share == 0 {
+	b.tokens = min(b.tokens+b.share*now.Sub(b.refilledAt).Seconds(), limitBurst)
+	b.refilledAt = now
+	if b.share == 0 {
 		// A node that gets a share later starts with none of it.
-		l.tokens = min(l.tokens, 0)
+		b.tokens = min(b.tokens, 0)
 	}
 }
 
 // mayReceive reports whether the upstream takes requests from this node now, and its limit
 // leaves room for one.
 func (s *Set) mayReceive(now time.Time, m *member) bool {
-	if !s.Admits(now, m.Upstream) || s.onTrial(m) {
+	if !s.Admits(now, m.Upstream) || s.onTrial(m) || !s.hasColdRoom(now, m) {
 		return false
 	}
 	if !m.limiter.limit.Named {
 		return true
 	}
-	m.limiter.refill(now, m.ID, s.shares)
+	s.refillLimit(now, m)
 	return m.limiter.tokens >= 1
 }
 
 // spend counts a number of requests that this node sends to an upstream.
 func (s *Set) spend(now time.Time, m *member, requests float64) {
+	s.spendCold(now, m, requests)
 	if m.limiter.limit.Named {
-		m.limiter.refill(now, m.ID, s.shares)
+		s.refillLimit(now, m)
 		m.limiter.tokens -= requests
 	}
 }
@@ -111,22 +127,23 @@
 }
 
 // Usable returns the upstreams of a service that take requests from this node, in order of ID,
-// with those among them that leave this node a share of their limit or, if they are brittle, of
-// their slots. slots is the number of an engine's slots, 0 for plain services.
+// with those among them that leave this node a share of their limit, of what they tolerate while
+// they are cold or, if they are brittle, of their slots. slots is the number of an engine's slots, 0 for plain services.
 func (s *Set) Usable(now time.Time, service string, slots int) (ready, usable []Shared) {
 	for _, m := range s.sorted {
 		if m.Service != service || m.State != StateReady || !s.Admits(now, m.Upstream) {
 			continue
 		}
-		shared := Shared{ID: m.ID, Limit: m.limiter.limit}
+		shared := Shared{ID: m.ID, Limit: m.limiter.limit, Cold: s.isCold(now, m)}
 		if s.rejections(m).Named {
 			shared.Slots = m.slots(Query{Slots: slots})
 		}
 		ready = append(ready, shared)
 		if m.limiter.limit.Named {
-			m.limiter.refill(now, m.ID, s.shares)
+			s.refillLimit(now, m)
 		}
 		hasShare := !m.limiter.limit.Named || m.limiter.share > 0
+		hasShare = hasShare && (!shared.Cold || s.coldShare(now, m) > 0)
 		if hasShare && (shared.Slots == 0 || s.partOfSlots(now, m, shared.Slots) > 0) {
 			usable = append(usable, shared)
 		}
@@ -140,6 +157,8 @@
 	// Limit is the limit that it names, Slots the number of its slots if it is brittle, else 0.
 	Limit RateLimit
 	Slots int
+	// Cold is set if it is cold.
+	Cold bool
 }
 
 // RecordLimit records the limit that an upstream names in its answer to an attempt,
--- a/internal/core/placement/pick.go
+++ b/internal/core/placement/pick.go
@@ -25,6 +25,8 @@
 	// of them were queued recently, otherwise zero. At the reserved upstreams it
 	// limits the wait of this request too.
 	UrgentWait time.Duration
+	// ColdCost is the additional time that a request is expected to take at a cold upstream.
+	ColdCost time.Duration
 }
 
 // Pick returns the upstream with the lowest cost among those with capacity.
@@ -43,7 +45,7 @@
 func (s *Set) pick(now time.Time, q Query, ejected bool) *member {
 	var best *member
 	var lowest time.Duration
-	preferred := s.preferred(q)
+	preferred := s.preferred(now, q)
 	reserved := s.reservedBelow(q)
 	speed := s.Speed(q.Service)
 	for _, m := range s.sorted {
@@ -142,6 +144,9 @@
 		OtherZone:   m.Zone != s.zone,
 		Unlisted:    m.unlisted,
 	}
+	if q.ColdCost > 0 && s.isCold(now, m) {
+		c.Cold = q.ColdCost
+	}
 	if q.Slots == 0 {
 		return c
 	}
@@ -158,15 +163,15 @@
 
 // preferred returns the ID of the upstream that all nodes prefer for the
 // prompt's shared part: the one with the highest rendezvous hash of those without
-// a limit.
-func (s *Set) preferred(q Query) string {
+// a limit that are not cold.
+func (s *Set) preferred(now time.Time, q Query) string {
 	part, ok := q.Prompt.lastSharedPart()
 	if !ok {
 		return ""
 	}
 	best, highest := "", uint64(0)
 	for _, m := range s.sorted {
-		if m.Service != q.Service || m.State != StateReady || m.limiter.limit.Named {
+		if m.Service != q.Service || m.State != StateReady || m.limiter.limit.Named || s.isCold(now, m) {
 			continue
 		}
 		if h := xxhash.Sum64String(part.ID + "/" + m.ID); best == "" || h > highest {
--- a/internal/core/placement/set.go
+++ b/internal/core/placement/set.go
@@ -35,6 +35,7 @@
 	reportedAt time.Time
 	limiter    limiter
 	brittle    brittle
+	cold       cold
 	// unlisted reports whether the entry is currently missing from the list.
 	unlisted bool
 	// hash gives the upstreams an order that is the same at all nodes.
--- a/internal/core/placement/upstream.go
+++ b/internal/core/placement/upstream.go
@@ -29,6 +29,10 @@
 	StartedAt time.Time `cbor:"9,keyasint"`
 	// StopsAt is when a draining upstream stops, zero if unknown.
 	StopsAt time.Time `cbor:"10,keyasint"`
+	// ColdLeft is how much longer the upstream stays cold, from the time at which its entry was
+	// read. Revision is the store's revision of that entry, 0 if unknown.
+	ColdLeft time.Duration `cbor:"11,keyasint,omitempty"`
+	Revision int64         `cbor:"12,keyasint,omitempty"`
 }
 
 // Part is a part of a prompt that requests may share.
--- a/internal/core/route/config.go
+++ b/internal/core/route/config.go
@@ -73,6 +73,18 @@
 	Engine *Engine
 	// Scaling is nil if the nodes do not choose the number of upstreams.
 	Scaling *Scaling
+	// Cold is nil if upstreams tolerate as much after their start as later.
+	Cold *Cold
+}
+
+// Cold describes the upstreams of a service for some time after they have started, or after they
+// have lost their caches.
+type Cold struct {
+	// Duration is the time after the start.
+	Duration time.Duration
+	// PerSecond is the number of requests a second that a cold upstream tolerates from all nodes
+	// together.
+	PerSecond float64
 }
 
 // Engine describes the model engines of a service.
--- a/internal/run/gateway/metrics.go
+++ b/internal/run/gateway/metrics.go
@@ -13,7 +13,7 @@
 
 func newCounters() map[core.Counter]*expvar.Map {
 	maps := make(map[core.Counter]*expvar.Map)
-	for _, c := range []core.Counter{core.CountRefusal, core.CountRetry, core.CountResult, core.CountDuty, core.CountMove, core.CountAnswer, core.CountExtra} {
+	for _, c := range []core.Counter{core.CountRefusal, core.CountRetry, core.CountResult, core.CountDuty, core.CountMove, core.CountAnswer, core.CountExtra, core.CountCold} {
 		maps[c] = expvar.NewMap(string(c))
 	}
 	for _, reason := range core.Reasons() {
--- a/internal/run/gateway/runner.go
+++ b/internal/run/gateway/runner.go
@@ -154,6 +154,8 @@
 		QuotaWindow:  s.Bounds.QuotaWindow.Duration,
 		QuotaOver:    s.Bounds.QuotaOver,
 		QuotaSlack:   s.Bounds.QuotaSlack,
+		ColdOver:     s.Bounds.ColdOver,
+		ColdSlack:    s.Bounds.ColdSlack,
 		ReportsUsage: slices.Contains(s.Duties, settings.DutyUsage),
 		OrdersFleet:  slices.Contains(s.Duties, settings.DutyFleet),
 	}
--- a/internal/run/settings/gateway.go
+++ b/internal/run/settings/gateway.go
@@ -63,6 +63,10 @@
 	// tokens.
 	QuotaOver  float64 `toml:"quota_over"`
 	QuotaSlack float64 `toml:"quota_slack"`
+	// ColdOver is the factor by which all nodes together may exceed the requests a second that a
+	// cold upstream tolerates, ColdSlack the number of requests beyond that.
+	ColdOver  float64 `toml:"cold_over"`
+	ColdSlack float64 `toml:"cold_slack"`
 }
 
 // Duties of the node that holds the lease. A settings file lists those that the
@@ -92,6 +96,7 @@
 			RetryRatio:  0.2,
 			RetryWindow: Duration{10 * time.Second},
 			QuotaWindow: Duration{8 * time.Second},
+			ColdOver:    1,
 		},
 		Log: Log{Level: zerolog.InfoLevel.String()},
 	}
@@ -117,6 +122,9 @@
 	if s.Bounds.RetryRatio < 0 || s.Bounds.RetrySlack < 0 {
 		c.report("bounds.retry_ratio", "must not be negative")
 	}
+	if !(s.Bounds.ColdOver >= 0) || !(s.Bounds.ColdSlack >= 0) {
+		c.report("bounds.cold_over", "must not be negative")
+	}
 	for _, duty := range s.Duties {
 		if duty != DutyUsage && duty != DutyFleet {
 			c.report("duties", "%q is neither %q nor %q", duty, DutyUsage, DutyFleet)
