--- a/internal/core/placement/doc.go
+++ b/internal/core/placement/doc.go
@@ -30,6 +30,12 @@
 // whoever sends without Pick asks Admits. A pause belongs to the process that asked for it. After
 // it one request is on trial, until an answer to it shows that the upstream takes requests.
 //
+// # Cold upstreams
+//
+// An upstream that has just started, or has lost its caches, tolerates few requests a second until
+// its cold time ends. Meanwhile a node sends it no more than its share, from a bucket that starts
+// empty, and prefers the others by Query.ColdCost. Whoever sends without Pick asks ColdRoomIn.
+//
 // # Speed
 //
 // The prefill rate of a service's engines differs between deployments. It is
