--- a/internal/core/gateway/effect.go
+++ b/internal/core/gateway/effect.go
@@ -190,6 +190,8 @@
 	CountLoad Counter = "gateway_load_reports"
 	// CountQuota counts refusals of requests beyond their team's quota, by team and cause.
 	CountQuota Counter = "gateway_quota_refusals"
+	// CountCold counts the requests to cold upstreams by service.
+	CountCold Counter = "gateway_cold_requests"
 )
 
 // ExtraSkipped is the only label of CountExtra.
--- a/internal/core/gateway/move.go
+++ b/internal/core/gateway/move.go
@@ -67,7 +67,7 @@
 	if g.isEvacuated(source) {
 		return
 	}
-	if !g.upstreams.Admits(g.now, source) {
+	if !g.upstreams.Admits(g.now, source) || g.upstreams.ColdRoomIn(g.now, source.ID) > 0 {
 		g.moveLater[source.ID] = true
 		return
 	}
@@ -129,7 +129,7 @@
 	query.Version, query.NotVersion = source.Version, ""
 	target, ok := g.upstreams.Pick(g.now, query)
 	if !ok {
-		if g.upstreams.CountPaused(g.now, r.service) > 0 {
+		if g.upstreams.CountPaused(g.now, r.service) > 0 || g.upstreams.CountCold(g.now, r.service) > 0 {
 			g.moveLater[source.ID] = true
 		}
 		return false
@@ -220,13 +220,14 @@
 	ended Ended
 }
 
-// continueRun continues a stopped run. If the upstream has asked for a pause, a stream that can
-// be resumed elsewhere is; another one waits for the end of the pause if it may be served then.
+// continueRun continues a stopped run. If the upstream has asked for a pause, or is cold and has no
+// room, a stream that can be resumed elsewhere is; another one waits if it may be served then.
 // None waits for an evacuated zone, which may be so for hours.
 func (g *Gateway) continueRun(r *request, run stoppedRun) {
-	left := g.upstreams.PauseLeft(g.now, run.upstream)
+	roomIn := g.upstreams.ColdRoomIn(g.now, run.upstream.ID)
+	left := max(g.upstreams.PauseLeft(g.now, run.upstream), roomIn)
 	switch {
-	case g.upstreams.Admits(g.now, run.upstream):
+	case g.upstreams.Admits(g.now, run.upstream) && roomIn == 0:
 		r.stopped = nil
 		g.dispatchTo(r, run.upstream, run.from)
 	case r.route.Retryable() || g.isEvacuated(run.upstream) || !g.now.Add(left).Before(r.deadline):
@@ -234,7 +235,7 @@
 		g.afterRun(r, run.ended)
 	default:
 		r.stopped = &run
-		g.logRequest(r, "wait", "stopped run waits for a pause of its upstream to end", "upstream", run.upstream.ID, "left_ms", left.Milliseconds())
+		g.logRequest(r, "wait", "stopped run waits until its upstream takes requests", "upstream", run.upstream.ID, "left_ms", left.Milliseconds())
 	}
 }
 
@@ -254,7 +255,8 @@
 	}
 	slices.SortFunc(stopped, byArrival)
 	for _, r := range stopped {
-		if g.upstreams.Admits(g.now, r.stopped.upstream) || g.isEvacuated(r.stopped.upstream) {
+		u := r.stopped.upstream
+		if g.isEvacuated(u) || g.upstreams.Admits(g.now, u) && g.upstreams.ColdRoomIn(g.now, u.ID) == 0 {
 			g.continueRun(r, *r.stopped)
 		}
 	}
--- a/internal/core/gateway/state.go
+++ b/internal/core/gateway/state.go
@@ -56,6 +56,8 @@
 	Evacuated int `json:"evacuated"`
 	// Paused is the number of upstreams that have asked this node for a pause.
 	Paused int `json:"paused"`
+	// Cold is the number of upstreams that tolerate few requests at the moment.
+	Cold int `json:"cold"`
 	// Reporting is the number of upstreams that have told this node lately how long work takes
 	// there, Slow that of those where it takes longer than usual.
 	Reporting int `json:"reporting"`
@@ -111,7 +113,7 @@
 }
 
 func (g *Gateway) serviceState(service string) ServiceState {
-	s := ServiceState{Upstreams: g.upstreams.Count(service), Evacuated: g.upstreams.CountEvacuated(service), Paused: g.upstreams.CountPaused(g.now, service)}
+	s := ServiceState{Upstreams: g.upstreams.Count(service), Evacuated: g.upstreams.CountEvacuated(service), Paused: g.upstreams.CountPaused(g.now, service), Cold: g.upstreams.CountCold(g.now, service)}
 	s.Reporting, s.Slow = g.upstreams.CountSlow(g.now, service)
 	for _, r := range g.requests {
 		switch {
--- a/internal/core/gateway/status.go
+++ b/internal/core/gateway/status.go
@@ -52,6 +52,7 @@
 		Reached:           g.reachedForPeers(),
 		Reaches:           g.reaches(),
 		Evacuations:       g.evacuations.Report(),
+		Cold:              g.coldForPeers(),
 	}
 	if g.lease.Claims(g.now) {
 		s.LeaseToken = g.lease.FencingToken()
@@ -163,6 +164,7 @@
 	g.upstreams.MergeLimits(g.now, s.Limits)
 	g.upstreams.MergeBrittle(g.now, s.Brittle)
 	g.upstreams.MergeSamples(g.now, s.Node, s.Start, s.Samples)
+	g.mergeCold(s)
 	g.departuresReported(s.Departed)
 	for _, process := range s.Leaving {
 		g.leaveAnnounced(process, s.Node)
--- a/internal/core/peer/status.go
+++ b/internal/core/peer/status.go
@@ -51,6 +51,8 @@
 	Brittle []placement.ObservedLimit `cbor:"32,keyasint,omitempty"`
 	// Samples are times of answers that differ from the usual, for the capacity of upstreams.
 	Samples *placement.SharedSamples `cbor:"36,keyasint,omitempty"`
+	// Cold holds the upstreams that are cold by what the sender has read of them.
+	Cold []ColdUpstream `cbor:"38,keyasint,omitempty"`
 	// Quarantine is what the sender knows of requests that may crash upstreams.
 	Quarantine quarantine.Report `cbor:"19,keyasint"`
 	// UpstreamsRevision is the store's revision of the latest change to the
@@ -100,6 +102,12 @@
 	Status Status `cbor:"1,keyasint"`
 }
 
+// ColdUpstream is the process of an upstream that stays cold for a time.
+type ColdUpstream struct {
+	Process uint64        `cbor:"1,keyasint"`
+	Left    time.Duration `cbor:"2,keyasint"`
+}
+
 // ReachedUpstream is the process of an upstream, with the time since it has last answered.
 type ReachedUpstream struct {
 	Process uint64        `cbor:"1,keyasint"`
--- a/internal/core/placement/cost.go
+++ b/internal/core/placement/cost.go
@@ -27,6 +27,9 @@
 	// Unlisted reports whether its entry is currently missing from the
 	// platform's list of upstreams.
 	Unlisted bool
+	// Cold is the additional time that a request is expected to take there because the
+	// upstream is cold, 0 if it is not.
+	Cold time.Duration
 }
 
 // slowDown lets work at the candidate take a multiple of its usual time.
@@ -42,7 +45,7 @@
 // time at an idle one that is in the node's own zone and has the shared prompt
 // parts cached. It includes the delay that the request causes to others there.
 func LeastTime(c Candidate) time.Duration {
-	cost := c.Wait + c.Excess + recomputeWeight*c.Recompute
+	cost := c.Wait + c.Excess + c.Cold + recomputeWeight*c.Recompute
 	if c.BeyondRoom {
 		cost += beyondRoomCost
 	}
--- a/internal/core/placement/evacuated_test.go
+++ b/internal/core/placement/evacuated_test.go
@@ -55,7 +55,7 @@
 	preferred := make(map[string]bool)
 	for i := range 200 {
 		prompt := Prompt{InputTokens: 1000, Parts: []Part{{ID: fmt.Sprint("p", i), Tokens: 900}, {ID: "own", Tokens: 100}}}
-		id := s.preferred(Query{Service: "s", Prompt: prompt})
+		id := s.preferred(epoch, Query{Service: "s", Prompt: prompt})
 		u, _ := s.Get(id)
 		c.Assert(u.Zone, qt.Not(qt.Equals), "z0")
 		preferred[id] = true
--- a/internal/core/placement/set.go
+++ b/internal/core/placement/set.go
@@ -39,6 +39,7 @@
 	invalidReport bool
 	limiter       limiter
 	brittle       brittle
+	cold          cold
 	// unlisted reports whether the entry is currently missing from the list.
 	unlisted bool
 	// hash gives the upstreams an order that is the same at all nodes.
@@ -78,7 +79,7 @@
 	arrivals map[string]*arrivals
 	// newsAge is the mean age of what is known of the peers' load.
 	newsAge time.Duration
-	learner    learner
+	learner learner
 }
 
 // activeRequest is a request that this node has running at an upstream.
@@ -100,7 +101,7 @@
 		members: make(map[string]*member), usedByPeers: make(map[string][]*member), estimators: make(map[string]*speedEstimator),
 		brittleServices: make(map[string]RateLimit), pauses: make(map[process]*pause),
 		arrivals: make(map[string]*arrivals),
-		learner: newLearner(LearnOff),
+		learner:  newLearner(LearnOff),
 	}
 }
 
--- a/internal/run/settings/gateway.go
+++ b/internal/run/settings/gateway.go
@@ -69,6 +69,10 @@
 	// Evacuation is the time within which nothing more is sent to an availability zone that
 	// the operator evacuates, 0 if the deployment has no evacuations.
 	Evacuation Duration `toml:"evacuation"`
+	// ColdOver is the factor by which all nodes together may exceed the requests a second that a
+	// cold upstream tolerates, ColdSlack the number of requests beyond that.
+	ColdOver  float64 `toml:"cold_over"`
+	ColdSlack float64 `toml:"cold_slack"`
 }
 
 // GatewayPlacement configures how requests are placed at upstreams.
@@ -105,6 +109,7 @@
 			RetryRatio:  0.2,
 			RetryWindow: Duration{10 * time.Second},
 			QuotaWindow: Duration{8 * time.Second},
+			ColdOver:    1,
 		},
 		Placement: GatewayPlacement{Learn: placement.LearnOff},
 		Log:       Log{Level: zerolog.InfoLevel.String()},
@@ -134,6 +139,9 @@
 	if s.Bounds.RetryRatio < 0 || s.Bounds.RetrySlack < 0 {
 		c.report("bounds.retry_ratio", "must not be negative")
 	}
+	if !(s.Bounds.ColdOver >= 0) || !(s.Bounds.ColdSlack >= 0) {
+		c.report("bounds.cold_over", "must not be negative")
+	}
 	for _, duty := range s.Duties {
 		if duty != DutyUsage && duty != DutyFleet {
 			c.report("duties", "%q is neither %q nor %q", duty, DutyUsage, DutyFleet)
