quota, gateway, fleet: what a review of quotas and resignations found

Each shown by a trial of the review: a burst smaller than the tolerance was no limit; a restarted peer's charge was given back; one expensive refusal named minutes to the later ones; nodes that never read the lease passed orders on, and took the lease all at once; one refused call made a holder resign; odd figures of peers were counted with.

--- a/internal/core/fleet/accepted_test.go
+++ b/internal/core/fleet/accepted_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"monsoonlanding/internal/core/placement"
 )
 
 // TestSuccessorKeepsStartingUpstreams: the lease changes hands while on-demand upstreams are starting
@@ -29,3 +31,18 @@
 	c.Assert(successor.expected(late, s, 1), qt.Equals, 1)
 	c.Assert(first.Accepted(late), qt.HasLen, 0)
 }
+
+// TestReportOfAReclaimedOrder: a report that arrives after the zone's upstreams are reclaimed, of an
+// order before it, doesn't make them count as starting again.
+func TestReportOfAReclaimedOrder(t *testing.T) {
+	c := qt.New(t)
+	p := New("plans", scaling())
+	s := segment{zone: "a", reclaimable: true}
+	order := Order{Service: "plans", Zone: "a", Reclaimable: true, Count: 4}
+	p.NoteAccepted(AcceptedOrder{order, epoch})
+	now := epoch.Add(time.Second)
+	reclaimed := placement.Upstream{ID: "u", Service: "plans", Zone: "a", Reclaimable: true, State: placement.StateDraining, StopsAt: now.Add(time.Second)}
+	p.Observe(now, View{Upstreams: []placement.Upstream{reclaimed}})
+	p.NoteAccepted(AcceptedOrder{order, epoch.Add(100 * time.Millisecond)})
+	c.Assert(p.expected(now, s, 0), qt.Equals, 0)
+}
--- a/internal/core/fleet/order.go
+++ b/internal/core/fleet/order.go
@@ -73,11 +73,23 @@
 		o = &orderState{}
 		p.orders[s] = o
 	}
-	if a.At.After(o.acceptedAt) {
+	if p.pending(a.At, o) && a.Count == o.count {
+		// The same order, reported a moment later.
+		return
+	}
+	if a.At.After(o.acceptedAt) && a.At.After(p.reclaimedAt(s)) {
 		o.count, o.acceptedAt, o.valid = a.Count, a.At, true
 	}
 }
 
+// reclaimedAt returns when reclaimable upstreams of the segment were last reclaimed.
+func (p *Planner) reclaimedAt(s segment) time.Time {
+	if !s.reclaimable {
+		return time.Time{}
+	}
+	return p.shortageAt[s.zone]
+}
+
 // pending reports whether an accepted order's upstreams may still be starting.
 func (p *Planner) pending(now time.Time, o *orderState) bool {
 	return o.valid && now.Sub(o.acceptedAt) <= p.scaling.StartTime+startMargin
--- a/internal/core/gateway/fleet.go
+++ b/internal/core/gateway/fleet.go
@@ -139,7 +139,7 @@
 const fleetObserveInterval = time.Second
 
 // observeFleet observes demand and reclaims on a node that doesn't hold the lease, so that it
-// knows them if it takes over in the middle of a wave of reclaims.
+// knows them if it takes over during reclaims.
 func (g *Gateway) observeFleet() {
 	if !g.cfg.Bounds.OrdersFleet || !g.upstreamsRead || g.now.Sub(g.fleetObservedAt) < fleetObserveInterval {
 		return
@@ -242,11 +242,14 @@
 	return list
 }
 
-// noteOrders notes the orders that the lease holder reports.
-func (g *Gateway) noteOrders(orders []peer.FleetOrder) {
-	for _, o := range orders {
+// noteOrders notes the orders that a status of the lease holder, or of one that has resigned, reports.
+func (g *Gateway) noteOrders(status peer.Status) {
+	if max(status.LeaseToken, status.ResignedToken) < g.lease.FencingToken() {
+		return
+	}
+	for _, o := range status.Orders {
 		s, ok := g.table.Service(o.Service)
-		if !ok || s.Scaling == nil {
+		if !ok || s.Scaling == nil || o.Count < 0 || o.Age < 0 {
 			continue
 		}
 		order := fleet.Order{Service: o.Service, Zone: o.Zone, Reclaimable: o.Reclaimable, Count: o.Count}
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -100,8 +100,9 @@
 	// storeLostAt is when the latest store outage began.
 	storeDown   bool
 	storeLostAt time.Time
-	// leaseFailingSince is when the first call for the lease failed since the latest one that the
-	// store answered, zero if none has.
+	// leaseFailures counts the calls for the lease that failed since the latest one that the store
+	// answered, the first of them at leaseFailingSince.
+	leaseFailures     int
 	leaseFailingSince time.Time
 	// callFailedAt is when the latest call that only the lease holder makes had no answer.
 	callFailedAt time.Time
--- a/internal/core/gateway/lease.go
+++ b/internal/core/gateway/lease.go
@@ -21,6 +21,9 @@
 	// holder resigns, if peers reach the store. It is short because nobody orders
 	// upstreams meanwhile.
 	resignAfter = 500 * time.Millisecond
+	// minLeaseFailures is the number of calls for the lease in a row that the store
+	// must have failed to answer: a single one may have been refused by chance.
+	minLeaseFailures = 2
 )
 
 func (g *Gateway) acquireLease() {
@@ -55,11 +58,12 @@
 func (g *Gateway) recordLeaseCall(result leader.Result) {
 	switch result {
 	case leader.ResultRefused, leader.ResultUnknown:
-		if g.leaseFailingSince.IsZero() {
+		if g.leaseFailures == 0 {
 			g.leaseFailingSince = g.now
 		}
+		g.leaseFailures++
 	case leader.ResultOK, leader.ResultConflict, leader.ResultMissing:
-		g.leaseFailingSince = time.Time{}
+		g.leaseFailures = 0
 	}
 }
 
@@ -69,7 +73,7 @@
 	if g.storeDown {
 		lost = g.now.Sub(g.storeLostAt)
 	}
-	if !g.leaseFailingSince.IsZero() {
+	if g.leaseFailures >= minLeaseFailures {
 		lost = max(lost, g.now.Sub(g.leaseFailingSince))
 	}
 	return lost
@@ -98,6 +102,11 @@
 	g.lease.NoteResigned(s.ResignedToken)
 }
 
+// hasResigned reports whether the member has resigned the lease with a token, 0 if none is known.
+func (m *member) hasResigned(token int64) bool {
+	return m.status.ResignedToken > 0 && m.status.ResignedToken >= token
+}
+
 // resignsLease reports whether this node should give up the lease that it holds: the store does
 // not serve this node, but peers reach it. A call to the platform that is open, or that had no
 // answer lately, may still take effect, and a successor's calls must come after it.
@@ -108,8 +117,9 @@
 	if g.usage.sending || g.fleetOrderOpen() || g.now.Sub(g.callFailedAt) < g.cfg.Bounds.LeaseTerm {
 		return false
 	}
+	since := g.now.Add(-g.storeLostFor())
 	for _, m := range g.members {
-		if g.inContact(m) && m.status.Ready && !m.status.StoreUnavailable {
+		if g.inContact(m) && m.lastContact.After(since) && m.status.Ready && !m.status.StoreUnavailable {
 			return true
 		}
 	}
@@ -147,7 +157,7 @@
 func (g *Gateway) acquireDelay() time.Duration {
 	before := 0
 	for _, m := range g.members {
-		if g.inContact(m) && m.status.Ready && m.node < g.cfg.Node && m.status.ResignedToken < g.lease.FencingToken() {
+		if g.inContact(m) && m.status.Ready && m.node < g.cfg.Node && !m.hasResigned(g.lease.FencingToken()) {
 			before++
 		}
 	}
--- a/internal/core/gateway/lease_test.go
+++ b/internal/core/gateway/lease_test.go
@@ -55,7 +55,7 @@
 	return token
 }
 
-// TestHolderWithoutStoreResigns: the store turns the lease holder away and serves its peers, while
+// TestHolderWithoutStoreResigns: the store refuses the calls of the lease holder and answers its peers, while
 // upstreams are reclaimed. The holder can't renew and nobody else may act before its term and
 // the wait for it have passed, so that for seconds no upstream is ordered.
 func TestHolderWithoutStoreResigns(t *testing.T) {
@@ -70,15 +70,17 @@
 }
 
 // TestHolderResignsWhenItsCallsForTheLeaseFail: a holder that reads the lists seldom learns from its
-// calls for the lease that the store turns it away.
+// calls for the lease that the store refuses them.
 func TestHolderResignsWhenItsCallsForTheLeaseFail(t *testing.T) {
 	b := newBench(t, "a")
 	b.holdLease()
 	b.waitFor(WriteLease{}, status("b"))
 	b.reduce(LeaseWritten{Result: leader.ResultRefused})
 	b.receive(status("b"))
-	b.wait(resignAfter)
+	b.wait(resignAfter + TickInterval)
+	b.Assert(b.g.lease.Held(), qt.IsTrue, qt.Commentf("resigned after a single refusal"))
 	b.reduce(LeaseRead{Result: leader.ResultUnknown})
+	b.receive(status("b"))
 	b.Assert(resignedToken(b.wait(3*TickInterval)), qt.Equals, int64(1))
 }
 
@@ -125,3 +127,26 @@
 	took += b.waitFor(WriteLease{}, holder)
 	b.Assert(took < time.Second, qt.Equals, true)
 }
+
+// TestTakeoverKeepsTheOrderOfNodes: nodes that have never read the lease don't take it all at once.
+func TestTakeoverKeepsTheOrderOfNodes(t *testing.T) {
+	b := newBench(t, "n9")
+	b.ready(up("d1", "desk"))
+	for _, node := range []string{"n1", "n2", "n3"} {
+		b.receive(status(node))
+	}
+	b.Assert(b.g.acquireDelay(), qt.Equals, silentIntervals*statusInterval+maxAcquireStagger)
+}
+
+// TestOnlyHoldersReportOrders: a node that passed on the orders it has heard of would make them look
+// younger each time, and upstreams that never started would count as starting for long.
+func TestOnlyHoldersReportOrders(t *testing.T) {
+	b := newBench(t, "a")
+	b.ready(up("d1", "desk"))
+	b.receive(status("b"))
+	b.Assert(b.g.status().Orders, qt.HasLen, 0)
+	s := status("b")
+	s.Orders = []peer.FleetOrder{{Service: "model", Zone: "z1", Count: -3, Age: -time.Hour}}
+	b.receive(s)
+	b.Assert(b.g.planners, qt.HasLen, 0)
+}
--- a/internal/core/gateway/quota.go
+++ b/internal/core/gateway/quota.go
@@ -50,8 +50,8 @@
 }
 
 const (
-	// callerPatience is the part of its remaining time for which a caller waits to repeat a request.
-	callerPatience = 1.0 / 3
+	// retryWaitFraction is the part of its remaining time for which a caller waits to repeat a request.
+	retryWaitFraction = 1.0 / 3
 	// minRefillFraction is the least fraction of the refill that refused requests of a rank are
 	// assumed to get.
 	minRefillFraction = 0.05
@@ -72,8 +72,8 @@
 	if a.perSecond[rank] > 0 {
 		part = max(part, a.own[rank]/a.perSecond[rank])
 	}
-	patience := time.Duration(callerPatience * float64(r.deadline.Sub(g.now)))
-	return q.returns.Schedule(g.now, rank, c, free*part, max(earliest, minRetryAfter), patience)
+	longest := time.Duration(retryWaitFraction * float64(r.deadline.Sub(g.now)))
+	return q.returns.Schedule(g.now, rank, c, free*part, max(earliest, minRetryAfter), longest)
 }
 
 func (g *Gateway) teamQuota(team *route.Team) *teamQuota {
--- a/internal/core/gateway/quota_demand.go
+++ b/internal/core/gateway/quota_demand.go
@@ -173,7 +173,8 @@
 		bound += g.cfg.Bounds.QuotaSlack
 	}
 	limit := q.bucket.Limit()
-	rest := max(bound-limit.Rate*window-limit.Burst, 0)
+	// The bucket holds no debt beyond its burst, so more than that would be no limit.
+	rest := min(max(bound-limit.Rate*window-limit.Burst, 0), limit.Burst)
 	if g.justRestarted() {
 		return 0, debtFraction * rest
 	}
@@ -232,11 +233,18 @@
 	}
 	first := m.lastContact.IsZero()
 	share := g.quotaShare()
+	if s.Start != m.status.Start {
+		// The former process will not report what it was charged for.
+		m.quotaCharged = nil
+	}
 	g.refundSilence(m, share)
 	demand := make(map[string]peerDemand)
 	for _, spent := range s.QuotaSpent {
 		units := spent.Units - before[spent.Team].Units
 		asked := max(spent.Asked-before[spent.Team].Asked, units)
+		if !isFinite(units) || !isFinite(asked) {
+			continue
+		}
 		if first {
 			units = min(units, g.firstSpending(spent.Team))
 		}
@@ -252,6 +260,9 @@
 	m.demandKnown = s.Start == m.status.Start || g.outlivesThis(s)
 }
 
+// isFinite reports whether a peer's figure can be counted with.
+func isFinite(units float64) bool { return !math.IsNaN(units) && !math.IsInf(units, 0) }
+
 // outlivingBursts is the number of its parts of a burst that a process which has spent more has
 // certainly not just started.
 const outlivingBursts = 4
@@ -298,7 +309,7 @@
 	var d peerDemand
 	sum := 0
 	for _, p := range percent {
-		sum += max(p, 0)
+		sum += clampPercent(p)
 	}
 	if sum == 0 {
 		d.perSecond[0] = perSecond
@@ -306,11 +317,13 @@
 	}
 	d.ranked = true
 	for rank, p := range percent {
-		d.perSecond[min(rank, quota.RankCount-1)] += perSecond * float64(max(p, 0)) / float64(sum)
+		d.perSecond[min(rank, quota.RankCount-1)] += perSecond * float64(clampPercent(p)) / float64(sum)
 	}
 	return d
 }
 
+func clampPercent(p int) int { return min(max(p, 0), 100) }
+
 // countQuotaRefusal counts a refusal by team and cause.
 func (g *Gateway) countQuotaRefusal(r *request, verdict quota.Verdict) {
 	g.count(CountQuota, r.team.Name+"."+string(verdict))
--- a/internal/core/gateway/quota_silence.go
+++ b/internal/core/gateway/quota_silence.go
@@ -11,7 +11,7 @@
 
 // chargeSilence charges the quotas with what peers that have just fallen silent have probably
 // spent since their latest statuses. During a partition both sides spend before they notice it;
-// afterwards both make up for it. A peer that returns reports its spending.
+// afterwards each side bears its part. A peer that returns reports its spending.
 func (g *Gateway) chargeSilence() {
 	for _, m := range g.sortedMembers() {
 		silent := !g.contactWithin(m, quotaSilentIntervals)
@@ -24,6 +24,9 @@
 
 func (g *Gateway) chargeSilentPeer(m *member) {
 	share := g.quotaShare()
+	if m.quotaCharged != nil {
+		return
+	}
 	m.quotaCharged = make(map[string]float64)
 	for i := range g.table.Teams() {
 		q := g.quotas[g.table.Teams()[i].Name]
@@ -31,7 +34,7 @@
 			continue
 		}
 		units := g.silentDemand(q, m) * g.now.Sub(m.lastContact).Seconds() * q.admittedFraction(g.now)
-		// The other side makes up for its own part.
+		// The other side bears its own part.
 		units *= share
 		if units > 0 {
 			q.bucket.Spend(g.now, units, share)
--- a/internal/core/gateway/status.go
+++ b/internal/core/gateway/status.go
@@ -59,7 +59,7 @@
 		s.LeaseRevision = g.ownRevision(g.lease.Revision())
 	}
 	s.ResignedToken = g.lease.Resigned()
-	if s.LeaseToken > 0 || s.ResignedToken == g.lease.FencingToken() {
+	if s.LeaseToken > 0 || s.ResignedToken > 0 && s.ResignedToken == g.lease.FencingToken() {
 		s.Orders = g.acceptedOrders()
 	}
 	for id, p := range g.upstreams.OwnLoads() {
@@ -173,7 +173,7 @@
 	g.judge()
 	g.usage.peerReported(s)
 	g.noteLease(s)
-	g.noteOrders(s.Orders)
+	g.noteOrders(s)
 	if s.Report != nil {
 		g.lease.NoteReport(leader.Report{Window: s.Report.Window, Counts: s.Report.Counts, Accepted: s.Report.Accepted})
 	}
--- a/internal/core/quota/admission_test.go
+++ b/internal/core/quota/admission_test.go
@@ -58,3 +58,13 @@
 	c.Assert(schedule(1, time.Second), qt.Equals, 300*time.Millisecond)
 	c.Assert(r.Schedule(epoch.Add(time.Minute), 0, 50, 100, 0, time.Second), qt.Equals, time.Duration(0))
 }
+
+// TestReturnsAreBounded: a single expensive request at a small rate doesn't keep all later ones of its
+// rank away for minutes.
+func TestReturnsAreBounded(t *testing.T) {
+	c := qt.New(t)
+	var r Returns
+	const longest = 3 * time.Second
+	c.Assert(r.Schedule(epoch, 2, 12_400, 35, time.Second, longest), qt.Equals, time.Second)
+	c.Assert(r.Schedule(epoch, 2, 12_400, 35, time.Second, longest) <= time.Second+longest, qt.IsTrue)
+}
--- a/internal/core/quota/returns.go
+++ b/internal/core/quota/returns.go
@@ -11,15 +11,16 @@
 
 // Schedule returns the time after which a refused request may come back, not before earliest. The
 // rate is the part of the refill for its rank in units a second. A caller that won't wait for so
-// long, beyond its patience, takes no room in the schedule.
-func (r *Returns) Schedule(now time.Time, rank int, cost, rate float64, earliest, patience time.Duration) time.Duration {
+// long takes no room in the schedule, and one request takes no more of it than it would wait.
+func (r *Returns) Schedule(now time.Time, rank int, cost, rate float64, earliest, longest time.Duration) time.Duration {
 	at := now.Add(earliest)
 	if r.next[rank].After(at) {
 		at = r.next[rank]
 	}
 	wait := at.Sub(now)
-	if wait <= patience && rate > 0 {
-		r.next[rank] = at.Add(time.Duration(cost / rate * float64(time.Second)))
+	if wait <= longest && rate > 0 {
+		covered := min(cost/rate, longest.Seconds())
+		r.next[rank] = at.Add(time.Duration(covered * float64(time.Second)))
 	}
 	return wait
 }
