--- a/internal/core/quota/admission.go
+++ b/internal/core/quota/admission.go
@@ -48,7 +48,7 @@
 }
 
 // minorFraction is the fraction of the usual cost up to which a request is admitted while anything is
-// left: refusing it would save next to nothing for others.
+// left, the debt included: refusing it would save next to nothing for others.
 const minorFraction = 0.1
 
 // Need returns what requests of a rank need until the others' spending is known.
@@ -75,12 +75,15 @@
 // Decide decides on a request. The draw is a random number from 0 to 1.
 func (a Admission) Decide(rank int, cost, draw float64) Verdict {
 	left := a.Left + a.Overdraft + a.credit(rank)
-	if left <= 0 || a.Left+a.Overdraft+a.Debt < cost {
+	if a.Left+a.Overdraft+a.Debt < cost {
 		return VerdictSpent
 	}
 	if cost <= minorFraction*a.Usual {
 		return VerdictAdmitted
 	}
+	if left <= 0 {
+		return VerdictSpent
+	}
 	room := left - a.Reserve(rank)
 	switch {
 	case room > draw*a.Unreported[rank]:
--- a/internal/core/quota/admission_test.go
+++ b/internal/core/quota/admission_test.go
@@ -32,6 +32,7 @@
 		{"reserve of expected demand", Admission{Left: 10, Expected: Demand{20}}, 1, 1, 0, VerdictReserved},
 		{"less urgent ones have just spent it", Admission{Left: -5, Debt: 10, Unreported: Demand{0, 20}}, 0, 1, 0, VerdictAdmitted},
 		{"a minor request", Admission{Left: 10, Usual: 40, Unreported: Demand{20, 0}}, 1, 4, 1, VerdictAdmitted},
+		{"a minor request within the debt", Admission{Left: -5, Debt: 10, Usual: 40}, 1, 4, 1, VerdictAdmitted},
 		{"a minor request of a spent quota", Admission{Left: 0, Usual: 40}, 1, 4, 0, VerdictSpent},
 		{"as urgent ones have", Admission{Left: -5, Debt: 10, Unreported: Demand{20}}, 0, 1, 0, VerdictSpent},
 	} {
