--- a/internal/core/gateway/cold_load_test.go
+++ b/internal/core/gateway/cold_load_test.go
@@ -65,6 +65,7 @@
 	} {
 		for _, nodes := range fleetSizes {
 			t.Run(fmt.Sprint(row.name, "/", nodes), func(t *testing.T) {
+				t.Parallel()
 				w := newColdWorld(t, nodes)
 				if row.prepare != nil {
 					row.prepare(w)
@@ -119,6 +120,7 @@
 func TestUpstreamThatBecomesColdInUse(t *testing.T) {
 	for _, nodes := range fleetSizes {
 		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
+			t.Parallel()
 			w := newColdWorld(t, nodes)
 			w.put(everyNode, up("m0", "model"))
 			w.play(2 * time.Second)
--- a/internal/core/gateway/quota_team_test.go
+++ b/internal/core/gateway/quota_team_test.go
@@ -360,6 +360,7 @@
 	for _, l := range loads {
 		l.delay, l.seed = 60*time.Millisecond, 5
 		t.Run(l.name(), func(t *testing.T) {
+			t.Parallel()
 			r := newTeamWorld(t, l).play()
 			t.Log(r)
 			c := qt.New(t)
@@ -381,6 +382,7 @@
 // TestSurgeOfSmallTeam: a request is a fifth of a second's quota, and each node is asked now and
 // then. The most urgent ones go first, and nobody gets more than the bound.
 func TestSurgeOfSmallTeam(t *testing.T) {
+	t.Parallel()
 	r := newTeamWorld(t, teamLoad{nodes: 90, rate: 64_000, factor: 3.3, delay: 60 * time.Millisecond, seed: 5}).play()
 	t.Log(r)
 	c := qt.New(t)
@@ -406,6 +408,7 @@
 	} {
 		l.delay, l.seed, l.length = 60*time.Millisecond, 5, length
 		t.Run(l.name(), func(t *testing.T) {
+			t.Parallel()
 			r := newTeamWorld(t, l).play()
 			t.Log(r)
 			qt.Check(t, r.greatest <= 1, qt.IsTrue)
@@ -426,6 +429,7 @@
 			l.restartAt, l.restarted = time.Duration(rng.Float64()*float64(8*time.Second)), 1+rng.IntN(l.nodes)
 		}
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			r := newTeamWorld(t, l).play()
 			t.Log(l.name(), r)
 			qt.Check(t, r.greatest <= 1, qt.IsTrue, qt.Commentf("restart %v, delay %v", l.restartAt, l.delay))
