--- a/internal/core/gateway/roster.go
+++ b/internal/core/gateway/roster.go
@@ -29,6 +29,9 @@
 	// It is zero for a node whose first read names it: an earlier process has registered it.
 	selfListed bool
 	selfNewAt  time.Time
+	// mayUse is whether this node may use its shares, as of mayUseAt.
+	mayUse   bool
+	mayUseAt time.Time
 	// sharers holds the nodes with a share of an upstream.
 	sharers map[string]rosterSharers
 }
@@ -88,6 +91,14 @@
 // that it has some, and what it knows of them is not too old. A node that most others are in
 // contact with learns of new ones from them.
 func (g *Gateway) mayUseRosterShares() bool {
+	r := &g.roster
+	if r.mayUseAt.IsZero() || g.now.Sub(r.mayUseAt) >= TickInterval {
+		r.mayUse, r.mayUseAt = g.isRosterKnown(), g.now
+	}
+	return r.mayUse
+}
+
+func (g *Gateway) isRosterKnown() bool {
 	r := &g.roster
 	isNew := !r.selfNewAt.IsZero() && g.now.Sub(r.selfNewAt) < g.rosterTime(rosterRetention)
 	if !r.selfListed || isNew {
