run/gateway: test the pause of a dropped answer once its head was read

The upstream's handler let the caller leave as soon as it had written the head, and in some runs the node was interrupted before it had read that (trace: reading the head failed with a timeout while the request's context had ended). A node can't know a pause from a head that it has not read, so the test was at fault. The caller now leaves in ClassifyHead, and the test waits until the node knows: each run takes the way of a dropped answer, which was taken only in some runs before.

--- a/internal/run/gateway/exchange_test.go
+++ b/internal/run/gateway/exchange_test.go
@@ -61,20 +61,29 @@
 }
 
 // TestPauseOfDroppedAnswerCounts: a pause was not known to the node if the caller of the request that
-// was turned away left at the same time.
+// was turned away left at the same time. The caller leaves once the node has read the head: of an
+// answer that has not arrived yet, the node can't know the pause.
 func TestPauseOfDroppedAnswerCounts(t *testing.T) {
 	c := qt.New(t)
 	ctx, leave := context.WithCancel(context.Background())
+	c.Cleanup(leave)
 	server, r := newTestNode(c, func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Length", "10")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		w.(http.Flusher).Flush()
 		// The node waits for the body for a moment.
-		leave()
 		time.Sleep(200 * time.Millisecond)
 	})
+	left := make(chan (<-chan struct{}), 1)
+	serve := server.Config.Handler
+	server.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		left <- req.Context().Done()
+		serve.ServeHTTP(w, req)
+	})
 	classify := r.cfg.Protocol.ClassifyHead
 	r.cfg.Protocol.ClassifyHead = func(id string, status int, h http.Header) Head {
+		leave()
+		<-<-left
 		head := classify(id, status, h)
 		head.Signals.Pause = time.Minute
 		return head
