rollout: bound the counts of answers that peers report

Negative counts, and sums that overflow, gave the binomial test a probability out of range, and its panic stopped the node. Each count is now at least 0 and at most 2^40, in comparisons and in sums over nodes.

--- a/internal/core/gateway/rollouts.go
+++ b/internal/core/gateway/rollouts.go
@@ -162,12 +162,7 @@
 			if reported.Service != service || reported.Version != r.order.Target {
 				continue
 			}
-			newer.Good += reported.New.Good
-			newer.Failed += reported.New.Failed
-			newer.Late += reported.New.Late
-			older.Good += reported.Old.Good
-			older.Failed += reported.Old.Failed
-			older.Late += reported.Old.Late
+			newer, older = newer.Plus(answersOf(reported.New)), older.Plus(answersOf(reported.Old))
 		}
 	}
 	return newer, older
@@ -265,6 +260,10 @@
 	return peer.AnswerCounts{Good: e.Good, Failed: e.Failed, Late: e.Late}
 }
 
+func answersOf(c peer.AnswerCounts) rollout.Evidence {
+	return rollout.Evidence{Good: c.Good, Failed: c.Failed, Late: c.Late}
+}
+
 // mergeRollouts processes a peer's report on open rollouts. Few nodes watch
 // the rollouts in the store.
 func (g *Gateway) mergeRollouts(s peer.Status) {
--- a/internal/core/rollout/compare.go
+++ b/internal/core/rollout/compare.go
@@ -40,6 +40,7 @@
 
 // Compare tests the new version's answers against the old one's.
 func Compare(newer, older Evidence) Comparison {
+	newer, older = newer.bounded(), older.bounded()
 	failed, late := fraction(older.Failed, older.Total()), fraction(older.Late, older.Total())
 	c := Comparison{
 		Worse: 1,
--- a/internal/core/rollout/rollout.go
+++ b/internal/core/rollout/rollout.go
@@ -43,9 +43,25 @@
 	Failed, Late int64
 }
 
+// maxCount bounds each count of answers, so that sums don't overflow.
+const maxCount = 1 << 40
+
 // Total returns the number of answers.
 func (e Evidence) Total() int64 { return e.Good + e.Failed + e.Late }
 
+// Plus returns the sum of two counts, each of them within its bounds: peers may report any
+// number.
+func (e Evidence) Plus(other Evidence) Evidence {
+	e, other = e.bounded(), other.bounded()
+	return Evidence{Good: e.Good + other.Good, Failed: e.Failed + other.Failed, Late: e.Late + other.Late}.bounded()
+}
+
+// bounded returns the counts, each at least 0 and at most maxCount.
+func (e Evidence) bounded() Evidence {
+	bound := func(count int64) int64 { return min(max(count, 0), maxCount) }
+	return Evidence{Good: bound(e.Good), Failed: bound(e.Failed), Late: bound(e.Late)}
+}
+
 // View is the state of a rollout, the input of Decide.
 type View struct {
 	// OrderedAt is when the order was received.
@@ -90,6 +106,7 @@
 
 // Decide returns the decision on an open rollout.
 func Decide(now time.Time, v View) Decision {
+	v.New, v.Old = v.New.bounded(), v.Old.bounded()
 	compared := Compare(v.New, v.Old)
 	if compared.IsWorse() {
 		return Decision{Verdict: StateReverted}
