gateway: bound the limits that upstreams and peers name

1+int(limit) overflowed for limits of 2^63 and more and was negative for negative ones: sharers sliced out of range, which stopped the node, and limitShare left no node a share. A limit that is infinite or no number made the limiter's tokens no number for good, so that the upstream got nothing any more, also after it had named another limit. Limits are bounded where they are taken in, and the number of nodes that use one is computed without overflow.

TestOddLimitsAreShared, TestHugeLimitLeavesAShare and TestOddLimitsPass failed before and pass now.

--- a/internal/core/gateway/limit.go
+++ b/internal/core/gateway/limit.go
@@ -17,7 +17,7 @@
 		return 0
 	}
 	before, others := g.orderInContact(upstream, sharesUpstreams)
-	senders := min(others+1, 1+int(perSecond))
+	senders := limitSenders(others+1, perSecond)
 	if before >= senders {
 		return 0
 	}
@@ -25,6 +25,18 @@
 	return perSecond * inContact / float64(senders)
 }
 
+// limitSenders returns how many of a number of nodes use a limit: at least one, whatever number
+// a peer or an upstream has named.
+func limitSenders(nodes int, perSecond float64) int {
+	if perSecond >= float64(nodes) {
+		return nodes
+	}
+	if perSecond >= 1 {
+		return min(nodes, 1+int(perSecond))
+	}
+	return min(nodes, 1)
+}
+
 // slotPart returns this node's part of the slots of a brittle upstream: the slots of the nodes in
 // contact are divided evenly among those of them that use their shares, in a rendezvous order.
 // Nodes that are not in contact may use their own parts.
@@ -53,7 +65,7 @@
 func (g *Gateway) sharers(u placement.Shared) []string {
 	count := len(g.members) + 1
 	if u.Limit.Named {
-		count = min(count, 1+int(u.Limit.PerSecond))
+		count = limitSenders(count, u.Limit.PerSecond)
 	}
 	if u.Slots > 0 {
 		count = min(count, g.slotsInContact(u.Slots))
--- a/internal/core/gateway/limit_test.go
+++ b/internal/core/gateway/limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -270,3 +271,39 @@
 	_, effects := b.arrive("/plan/1")
 	b.Assert(refusal(effects), qt.Equals, ReasonOverload)
 }
+
+// oddLimits are numbers that no sound upstream or node names.
+var oddLimits = []float64{math.Inf(1), math.Inf(-1), math.NaN(), 1 << 63, 1 << 64, 1e300, -0.5, -5}
+
+// TestOddLimitsAreShared guards against a node that stops on a limit which a peer reports, or
+// an upstream names, out of the range of whole numbers.
+func TestOddLimitsAreShared(t *testing.T) {
+	for _, perSecond := range oddLimits {
+		t.Run(fmt.Sprint(perSecond), func(t *testing.T) {
+			b := newBench(t, "a")
+			b.ready(up("m1", "model"))
+			for range 30 {
+				b.receiveLimit("m1", perSecond, "b", "c")
+				b.arrive("/plan/1")
+				b.wait(100 * time.Millisecond)
+			}
+			b.receiveLimit("m1", perSecond, "b", "c")
+			count := 1
+			if perSecond > 1 {
+				count = 2
+			}
+			shared := placement.Shared{ID: "m1", Limit: placement.RateLimit{Named: true, PerSecond: perSecond}}
+			b.Assert(b.g.sharers(shared), qt.HasLen, count)
+		})
+	}
+}
+
+// TestHugeLimitLeavesAShare guards against a node that sends nothing to an upstream whose limit
+// is higher than any number of requests.
+func TestHugeLimitLeavesAShare(t *testing.T) {
+	for _, perSecond := range []float64{math.Inf(1), 1 << 63, 1 << 64, 1e300} {
+		for _, share := range sharesOfLimit(t, []int{3}, perSecond) {
+			qt.Check(t, share, qt.Equals, perSecond/3, qt.Commentf("%g", perSecond))
+		}
+	}
+}
--- a/internal/core/placement/limit.go
+++ b/internal/core/placement/limit.go
@@ -9,6 +9,9 @@
 	// minLimit is the number of requests a second that an upstream with a lower
 	// limit gets, so that nodes learn when it no longer names one.
 	minLimit = 0.1
+	// maxLimit is the number of requests a second to which a higher limit is reduced, so that
+	// what nodes compute from it stays finite.
+	maxLimit = 1e9
 	// shareRefresh is the time after which a node's share of a limit is computed
 	// again.
 	shareRefresh = 100 * time.Millisecond
@@ -23,6 +26,16 @@
 	PerSecond float64 `cbor:"2,keyasint"`
 }
 
+// bounded returns the limit with a finite number of requests a second. One that is no number
+// counts as 0.
+func (l RateLimit) bounded() RateLimit {
+	if !(l.PerSecond > 0) {
+		l.PerSecond = 0
+	}
+	l.PerSecond = min(l.PerSecond, maxLimit)
+	return l
+}
+
 // Shares tells this node's parts of what upstreams take from all nodes together.
 type Shares struct {
 	// Limit returns the part, in requests a second, of an upstream's limit. The parts of
@@ -151,7 +164,7 @@
 	if m == nil {
 		return false
 	}
-	l := &m.limiter
+	l, limit := &m.limiter, limit.bounded()
 	if !l.record(now, dispatched, limit) {
 		return false
 	}
@@ -166,7 +179,7 @@
 // MergeLimits adds the limits that a peer has observed. The latest one counts.
 func (s *Set) MergeLimits(now time.Time, reported []ObservedLimit) {
 	s.mergeObserved(now, reported, observedLimit, func(m *member, at time.Time, limit RateLimit) {
-		m.limiter.observe(now, at, limit)
+		m.limiter.observe(now, at, limit.bounded())
 	})
 }
 
--- a/internal/core/placement/limit_test.go
+++ b/internal/core/placement/limit_test.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -136,3 +138,27 @@
 	_, ok = s.Pick(now, Query{Service: "s"})
 	c.Assert(ok, qt.IsTrue)
 }
+
+// TestOddLimitsPass guards against an upstream that gets nothing any more after a peer, or its
+// own answer, named a limit that is not finite or is no number: the limiter's tokens became one.
+func TestOddLimitsPass(t *testing.T) {
+	for _, perSecond := range []float64{math.Inf(1), math.Inf(-1), math.NaN(), 1 << 64, -5} {
+		odd := RateLimit{Named: true, PerSecond: perSecond}
+		for name, learn := range map[string]func(*Set){
+			"from a peer":   func(s *Set) { s.MergeLimits(epoch, []ObservedLimit{{Upstream: "u0", Limit: odd}}) },
+			"from upstream": func(s *Set) { s.RecordLimit(epoch, epoch, "u0", odd) },
+		} {
+			t.Run(fmt.Sprint(name, "/", perSecond), func(t *testing.T) {
+				c := qt.New(t)
+				s := newSet("a", 1)
+				learn(s)
+				sent := sendAll(s, epoch, 35*time.Second)
+				c.Check(sent >= 3, qt.IsTrue, qt.Commentf("%d", sent))
+				later := epoch.Add(35 * time.Second)
+				s.RecordLimit(later, later, "u0", twoPerSecond)
+				sent = sendAll(s, later, 10*time.Second)
+				c.Check(sent >= 18 && sent <= 21, qt.IsTrue, qt.Commentf("%d", sent))
+			})
+		}
+	}
+}
