placement: follow up a usual sample at one node only

After a sample of a slow upstream that was as usual, also one of a peer, every node sent its next request there at once: in TestFollowUpIsTakenByOneNode 69 of 69 peers did. Only the node that took the sample follows it up, for 2 s at most; the others probe as they do otherwise. The test fails without the change.

--- a/internal/core/placement/learned.go
+++ b/internal/core/placement/learned.go
@@ -34,6 +34,8 @@
 	probePart = 0.03
 	// probeAge is the age of the latest sample of an upstream from which on it is probed.
 	probeAge = 300 * time.Millisecond
+	// followUpMaxAge is the age of a probe that was as usual from which on it isn't followed up.
+	followUpMaxAge = 2 * time.Second
 )
 
 // learner learns how much work the upstreams take well.
@@ -268,6 +270,10 @@
 // observeOwn adds a sample of this node, and shares it if it tells peers something.
 func (s *Set) observeOwn(now time.Time, m *member, sample capacity.Sample) {
 	m.learned.Observe(now, sample)
+	m.usualAt = time.Time{}
+	if m.learned.MayHaveRecovered() {
+		m.usualAt = now
+	}
 	if m.learned.IsNotable(sample) || m.learned.Differs() {
 		s.learner.samples.share(m.processHash(), sample)
 	}
@@ -303,12 +309,19 @@
 }
 
 // needsProbe reports whether a request is sent to a slow upstream as a probe: it runs nothing, and
-// its latest sample is old, if the request was drawn, or was as usual.
+// its latest sample is old, if the request was drawn, or was as usual and of this node. A sample of a
+// peer is followed up by the peer alone; otherwise all nodes would send a request there at once.
 func (m *member) needsProbe(now time.Time, load UpstreamLoad, drawn bool) bool {
 	if m.learned == nil || load.Running > 0 || !m.learned.IsSlow() {
 		return false
 	}
-	return m.learned.MayHaveRecovered() || drawn && m.learned.Age(now) >= probeAge
+	return m.followsUp(now) || drawn && m.learned.Age(now) >= probeAge
+}
+
+// followsUp reports whether this node's own latest sample of a slow upstream was as usual, and no
+// later one of a peer differs.
+func (m *member) followsUp(now time.Time) bool {
+	return m.learned.MayHaveRecovered() && now.Sub(m.usualAt) < followUpMaxAge
 }
 
 // usualTime returns the longest of the usual times of the service's routes.
--- a/internal/core/placement/learned_test.go
+++ b/internal/core/placement/learned_test.go
@@ -265,7 +265,7 @@
 	w := newLearningWorld(1, 12)
 	s := w.nodes[0]
 	w.slowdown = func(id string, _ int) float64 {
-		if (w.now.Sub(epoch)/(2*time.Second))%2 == 0 && id < "u3" {
+		if (w.now.Sub(epoch)/followUpMaxAge)%2 == 0 && id < "u3" {
 			return 3
 		}
 		return 1
@@ -279,3 +279,40 @@
 	}
 	c.Assert(lines <= 12*3, qt.IsTrue, qt.Commentf("%d", lines))
 }
+
+// TestFollowUpIsTakenByOneNode: after a sample of a slow upstream that was as usual, every node sent
+// its next request there at once. Only the node that took the sample follows it up, and not long
+// after.
+func TestFollowUpIsTakenByOneNode(t *testing.T) {
+	c := qt.New(t)
+	const nodes = 70
+	w := newLearningWorld(nodes, 4)
+	now := epoch.Add(time.Second)
+	process := w.nodes[0].members["u0"].processHash()
+	slow := SharedSample{Process: process, Stretch: 25, Weight: 16}
+	for _, s := range w.nodes {
+		for range 20 {
+			s.mergeSample(now, slow)
+		}
+		s.Pick(now, plainQuery)
+	}
+	shared := &SharedSamples{Last: 1, List: []SharedSample{{Process: process, Weight: 16}}}
+	for _, s := range w.nodes[1:] {
+		s.MergeSamples(now, "n0", 1, shared)
+	}
+	first := w.nodes[0]
+	first.observeOwn(now, first.members["u0"], shared.List[0].decode(now))
+	probes := func(at time.Time) (n int) {
+		for _, s := range w.nodes[1:] {
+			if u, _ := s.Pick(at, plainQuery); u.ID == "u0" {
+				n++
+			}
+		}
+		return n
+	}
+	n := probes(now.Add(200 * time.Millisecond))
+	c.Assert(n <= nodes/10, qt.IsTrue, qt.Commentf("%d, factor %.2f", n, w.nodes[1].members["u0"].learned.Factor()))
+	c.Assert(first.members["u0"].learned.IsSlow(), qt.IsTrue)
+	c.Assert(first.members["u0"].needsProbe(now.Add(time.Second), UpstreamLoad{}, false), qt.IsTrue)
+	c.Assert(first.members["u0"].needsProbe(now.Add(followUpMaxAge), UpstreamLoad{}, false), qt.IsFalse)
+}
--- a/internal/core/placement/set.go
+++ b/internal/core/placement/set.go
@@ -48,6 +48,9 @@
 	placed int
 	// learned estimates how much work the upstream takes well, nil if that is not learned.
 	learned *capacity.Estimator
+	// usualAt is when this node's own latest sample arrived, if it was as usual although the
+	// upstream is slow, otherwise zero.
+	usualAt time.Time
 	// logged is what was logged last of it.
 	logged loggedCapacity
 }
