capacity: let missed goals age

One late sample marked an upstream as missing its goals until its next sample, and with most of a service marked no room was lowered any more; late samples of hours ago lowered a room together with one of now. Both age now as the weights do, and one late sample marks nobody. TestLateSamplesAge and TestMissesAge fail without the change.

--- a/internal/core/capacity/capacity_test.go
+++ b/internal/core/capacity/capacity_test.go
@@ -196,3 +196,45 @@
 		c.Assert(s.last().Room() >= 1/Notable, qt.IsTrue, qt.Commentf("%v", s.last().Room()))
 	})
 }
+
+// late returns a sample at a time that missed its goal at half of the slots.
+func late(at time.Time) Sample {
+	return Sample{At: at, Stretch: 3, Weight: 1, Load: 0.5, Missed: true}
+}
+
+// TestLateSamplesAge: one late answer marked an upstream as missing its goals until its next one,
+// for hours if it got none, and with half of the service marked no room was lowered any more.
+func TestLateSamplesAge(t *testing.T) {
+	c := qt.New(t)
+	s := newService(4)
+	observe := func(n int) {
+		for _, e := range s.members[:3] {
+			for range n {
+				e.Observe(s.now, late(s.now))
+			}
+		}
+		s.group.Refresh(s.now)
+	}
+	observe(1)
+	c.Assert(s.group.overloaded, qt.IsFalse)
+	s.now = s.now.Add(time.Second)
+	observe(2)
+	c.Assert(s.group.overloaded, qt.IsTrue)
+	s.now = s.now.Add(time.Minute)
+	s.group.Refresh(s.now)
+	c.Assert(s.group.overloaded, qt.IsFalse)
+}
+
+// TestMissesAge: late answers of hours ago counted with one of now and lowered the room.
+func TestMissesAge(t *testing.T) {
+	c := qt.New(t)
+	r := newRoom()
+	for i := range maxMisses + 1 {
+		r.missed(late(epoch.Add(time.Duration(i) * time.Hour)))
+	}
+	c.Assert(r.limit, qt.Equals, 1.0)
+	for i := range maxMisses + 1 {
+		r.missed(late(epoch.Add((maxMisses+1)*time.Hour + time.Duration(i)*time.Second)))
+	}
+	c.Assert(r.limit < 1, qt.IsTrue)
+}
--- a/internal/core/capacity/estimator.go
+++ b/internal/core/capacity/estimator.go
@@ -17,9 +17,10 @@
 	// priorWeight is the weight of the assumption that an upstream is as usual, in samples.
 	priorWeight = 1.0
 	// missingStep is the weight of a sample in the part of the samples that missed their goals,
-	// minMissing the part from which on an upstream counts as missing them.
+	// minMissing the part from which on an upstream counts as missing them: one sample does not
+	// reach it.
 	missingStep = 0.5
-	minMissing  = 0.5
+	minMissing  = 0.6
 	// minSamples is the number of samples below which an upstream counts as usual.
 	minSamples = 3
 	// memory is the time after which samples weigh half if no others follow.
@@ -62,7 +63,8 @@
 	lasting, latest mean
 	samples         int
 	sampledAt       time.Time
-	// missing is the moving average of the part of the samples that missed their goals.
+	// missing is the moving average of the part of the samples that missed their goals, as of
+	// sampledAt. It is halved in the same time as the weights.
 	missing float64
 	room    room
 	// asUsual is set if the latest sample was as usual.
@@ -116,6 +118,7 @@
 	left := halved(at.Sub(e.sampledAt), memory)
 	e.lasting.weight *= left
 	e.latest.weight *= left
+	e.missing *= left
 	e.sampledAt = at
 }
 
@@ -143,6 +146,11 @@
 	return latest
 }
 
+// isMissing reports whether the upstream misses its goals at a time.
+func (e *Estimator) isMissing(now time.Time) bool {
+	return e.missing*halved(now.Sub(e.sampledAt), memory) >= minMissing
+}
+
 func (e *Estimator) refresh(now time.Time) {
 	e.factor, e.available = 1, e.room.left(now)
 	if e.samples < minSamples {
--- a/internal/core/capacity/group.go
+++ b/internal/core/capacity/group.go
@@ -41,7 +41,7 @@
 	}
 	g.refreshedAt = now
 	g.usual = g.median(now)
-	g.overloaded = g.isOverloaded()
+	g.overloaded = g.isOverloaded(now)
 	g.hasSlow = false
 	for _, e := range g.members {
 		e.refresh(now)
@@ -52,10 +52,10 @@
 // HasSlow reports whether a member is slow.
 func (g *Group) HasSlow() bool { return g.hasSlow }
 
-func (g *Group) isOverloaded() bool {
+func (g *Group) isOverloaded(now time.Time) bool {
 	missing := 0
 	for _, e := range g.members {
-		if e.missing >= minMissing {
+		if e.isMissing(now) {
 			missing++
 		}
 	}
--- a/internal/core/capacity/room.go
+++ b/internal/core/capacity/room.go
@@ -15,8 +15,9 @@
 	probeStep = 1.0 / 16
 	// probeDelay is the time after a decrease in which the room stays below the ceiling.
 	probeDelay = time.Second
-	// missesToCut is the number of missed goals, less those met, that lower the room.
-	missesToCut = 4
+	// maxMisses is the number of missed goals, less those met, beyond which the room is lowered.
+	// Older ones count less: half after roomMemory.
+	maxMisses = 3
 	// roomMemory is the time after which half of the missing room is given back if no samples
 	// arrive.
 	roomMemory = 8 * time.Second
@@ -30,9 +31,10 @@
 	limit, step float64
 	// ceiling is the lowest load at which answers have missed their goal, 1 if none is known.
 	ceiling float64
-	misses  int
-	cutAt   time.Time
-	latest  time.Time
+	// misses is the number of missed goals, less those met, as of latest.
+	misses float64
+	cutAt  time.Time
+	latest time.Time
 }
 
 func newRoom() room { return room{limit: 1, step: minRoomStep, ceiling: 1} }
@@ -46,7 +48,7 @@
 		return
 	}
 	r.misses++
-	if r.misses < missesToCut {
+	if r.misses <= maxMisses {
 		return
 	}
 	r.misses = 0
@@ -80,11 +82,12 @@
 	}
 }
 
-// age gives back room for the time without samples.
+// age gives back room for the time without samples, and lets missed goals count less.
 func (r *room) age(at time.Time) {
 	if !at.After(r.latest) {
 		return
 	}
+	r.misses *= halved(at.Sub(r.latest), roomMemory)
 	r.limit, r.latest = r.left(at), at
 }
 
