placement: learn anew when an entry changes its service

An entry that kept its process but changed its service left the learner without the new service, and the next report or answer was a nil dereference. It counts as a new member. And a node that stops learning and starts again keeps counting its samples; its peers ignored them, as their numbers began anew. TestChangedServiceIsLearnedAnew and TestNumbersOutlastSwitchingOff fail without the change.

--- a/internal/core/placement/learned.go
+++ b/internal/core/placement/learned.go
@@ -79,12 +79,14 @@
 }
 
 // Learn sets the services that the set learns about. What was learned before is dropped if they
-// change.
+// change. The numbers of this node's samples go on, as peers ignore those that they know.
 func (s *Set) Learn(mode Learning) {
 	if mode == s.learner.mode {
 		return
 	}
+	last := s.learner.samples.last
 	s.learner = newLearner(mode)
+	s.learner.samples.last = last
 	for _, m := range s.sorted {
 		m.learned, m.logged = nil, loggedCapacity{}
 		s.startLearning(m)
--- a/internal/core/placement/learned_test.go
+++ b/internal/core/placement/learned_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"monsoonlanding/internal/core/capacity"
 )
 
 const (
@@ -316,3 +318,38 @@
 	c.Assert(first.members["u0"].needsProbe(now.Add(time.Second), UpstreamLoad{}, false), qt.IsTrue)
 	c.Assert(first.members["u0"].needsProbe(now.Add(followUpMaxAge), UpstreamLoad{}, false), qt.IsFalse)
 }
+
+// TestChangedServiceIsLearnedAnew: an entry that changes its service but not its process left the
+// learner without anything about the new service, and the next answer ended the node.
+func TestChangedServiceIsLearnedAnew(t *testing.T) {
+	c := qt.New(t)
+	s := newLearningWorld(1, 1).nodes[0]
+	learnOne(s, epoch, 1, usualTime)
+	s.Put(Upstream{ID: "u0", Service: "other", Zone: "z", Slots: learnedSlots, State: StateReady})
+	c.Assert(s.members["u0"].learned.Samples(), qt.Equals, 0)
+	s.RecordReport(epoch, "u0", Report{Slowdown: 1})
+	for i := range uint64(10) {
+		learnOne(s, epoch, 2+i, usualTime)
+	}
+	c.Assert(s.learner.services["other"], qt.IsNotNil)
+	s.Remove("u0")
+}
+
+// TestNumbersOutlastSwitchingOff: a node that was told to stop learning and to start again numbered
+// its samples from the beginning, so that its peers ignored them.
+func TestNumbersOutlastSwitchingOff(t *testing.T) {
+	c := qt.New(t)
+	w := newLearningWorld(2, 3)
+	a, b := w.nodes[0], w.nodes[1]
+	share := func() {
+		a.observeOwn(epoch, a.members["u0"], capacity.Sample{At: epoch, Stretch: 3, Weight: 1})
+		b.MergeSamples(epoch, "a", 1, a.OwnSamples(epoch, time.Second))
+	}
+	for range 5 {
+		share()
+	}
+	a.Learn(LearnOff)
+	a.Learn(LearnOn)
+	share()
+	c.Assert(b.members["u0"].learned.Samples(), qt.Equals, 6)
+}
--- a/internal/core/placement/set.go
+++ b/internal/core/placement/set.go
@@ -109,10 +109,10 @@
 }
 
 // Put adds or updates an upstream. Load and health recorded for an earlier
-// process under the same ID are dropped.
+// process under the same ID, or for it in another service, are dropped.
 func (s *Set) Put(u Upstream) {
 	m := s.members[u.ID]
-	if m == nil || !m.StartedAt.Equal(u.StartedAt) {
+	if m == nil || !m.StartedAt.Equal(u.StartedAt) || m.Service != u.Service {
 		m = &member{
 			hash:    xxhash.Sum64String(u.ID),
 			running: make(map[uint64]*activeRequest),
