placement: count a request's own route as its work

The longest usual time of any route of a service counted as each request's work, for ever: with one route of 5 s nothing went to an upstream that is slower by a quarter. A query names its route, whose usual time counts, and routes without answers for five minutes are forgotten. TestUsualTimeIsTheRoutes fails without the change.

--- a/internal/core/gateway/dispatch.go
+++ b/internal/core/gateway/dispatch.go
@@ -88,7 +88,7 @@
 const lowestUrgency = 9
 
 func (g *Gateway) query(r *request, service *route.Service) placement.Query {
-	q := placement.Query{Service: r.service, Exclude: r.exclude, ColdCost: g.coldCost(r)}
+	q := placement.Query{Service: r.service, Route: r.route.Name, Exclude: r.exclude, ColdCost: g.coldCost(r)}
 	g.chooseVersion(&q, r)
 	if service.Engine == nil {
 		return q
--- a/internal/core/placement/learned.go
+++ b/internal/core/placement/learned.go
@@ -36,6 +36,8 @@
 	probeAge = 300 * time.Millisecond
 	// followUpMaxAge is the age of a probe that was as usual from which on it isn't followed up.
 	followUpMaxAge = 2 * time.Second
+	// usualRetention is the time for which the usual time of a route without answers is kept.
+	usualRetention = 5 * time.Minute
 )
 
 // learner learns how much work the upstreams take well.
@@ -51,11 +53,17 @@
 type learnedService struct {
 	group capacity.Group
 	// usual holds the usual times of whole answers, by route.
-	usual map[string]*capacity.Usual
+	usual map[string]*routeTime
 	// reports is set once an upstream of the service has reported how long work takes there.
 	reports bool
 }
 
+// routeTime is the usual time of a route's answers, with the time of the latest one.
+type routeTime struct {
+	capacity.Usual
+	usedAt time.Time
+}
+
 // learningRequest is what is kept of a request to learn from its time.
 type learningRequest struct {
 	// route is empty if the time is not learned from.
@@ -102,7 +110,7 @@
 	}
 	service := s.learner.services[m.Service]
 	if service == nil {
-		service = &learnedService{usual: make(map[string]*capacity.Usual)}
+		service = &learnedService{usual: make(map[string]*routeTime)}
 		s.learner.services[m.Service] = service
 	}
 	m.learned = service.group.Add()
@@ -186,9 +194,10 @@
 	}
 	usual := service.usual[r.learning.route]
 	if usual == nil {
-		usual = &capacity.Usual{}
+		usual = &routeTime{}
 		service.usual[r.learning.route] = usual
 	}
+	usual.usedAt = now
 	took := now.Sub(r.placedAt)
 	slowdown := r.learning.explained(m.statedSlowdown(now))
 	stretch, ok := usual.Observe(time.Duration(float64(took) / (slowdown * turns(r.learning.running, m.Slots))))
@@ -296,7 +305,7 @@
 		return 1
 	}
 	if q.Slots == 0 {
-		c.Work = max(c.Work, service.usualTime())
+		c.Work = max(c.Work, service.usualTime(q.Route))
 	}
 	slots := m.slots(q)
 	c.BeyondRoom = slots > 0 && load.Running >= m.takes(slots)
@@ -326,13 +335,21 @@
 	return m.learned.MayHaveRecovered() && now.Sub(m.usualAt) < followUpMaxAge
 }
 
-// usualTime returns the longest of the usual times of the service's routes.
-func (l *learnedService) usualTime() time.Duration {
-	longest := time.Duration(0)
-	for _, u := range l.usual {
-		longest = max(longest, u.Time())
+// usualTime returns the usual time of a route's answers, 0 if it is not known.
+func (l *learnedService) usualTime(route string) time.Duration {
+	if usual := l.usual[route]; usual != nil {
+		return usual.Time()
+	}
+	return 0
+}
+
+// expire forgets the usual times of routes that are no longer used.
+func (l *learnedService) expire(now time.Time) {
+	for route, usual := range l.usual {
+		if now.Sub(usual.usedAt) >= usualRetention {
+			delete(l.usual, route)
+		}
 	}
-	return longest
 }
 
 // takes returns the number of requests that the upstream takes well at once, the number of its
--- a/internal/core/placement/learned_test.go
+++ b/internal/core/placement/learned_test.go
@@ -353,3 +353,35 @@
 	share()
 	c.Assert(b.members["u0"].learned.Samples(), qt.Equals, 6)
 }
+
+// TestUsualTimeIsTheRoutes: a route that takes 5 s made each request of its service count as 5 s of
+// work, so that nothing went to an upstream that is slower by a quarter; and it did so for ever.
+func TestUsualTimeIsTheRoutes(t *testing.T) {
+	c := qt.New(t)
+	s := newLearningWorld(1, 1).nodes[0]
+	now := epoch
+	learnRoute := func(route string, took time.Duration) {
+		for i := range uint64(10) {
+			s.RecordStart(now, "u0", 1+i, Prompt{})
+			s.RecordGoals("u0", 1+i, route, 0, 0)
+			s.RecordEnd(now.Add(took), "u0", 1+i, Succeeded)
+		}
+		now = now.Add(took)
+	}
+	learnRoute("short", usualTime)
+	learnRoute("long", 5*time.Second)
+	work := func(route string) time.Duration {
+		candidate := Candidate{Work: plainServiceTime}
+		s.applyLearned(&candidate, s.members["u0"], UpstreamLoad{}, Query{Service: "s", Route: route})
+		return candidate.Work.Round(time.Millisecond)
+	}
+	c.Assert(work("short"), qt.Equals, usualTime)
+	c.Assert(work("long"), qt.Equals, 5*time.Second)
+	c.Assert(work("unknown"), qt.Equals, plainServiceTime)
+	now = now.Add(usualRetention - time.Second)
+	learnRoute("short", usualTime)
+	now = now.Add(time.Second)
+	s.Expire(now)
+	c.Assert(work("short"), qt.Equals, usualTime)
+	c.Assert(work("long"), qt.Equals, plainServiceTime)
+}
--- a/internal/core/placement/pick.go
+++ b/internal/core/placement/pick.go
@@ -10,6 +10,8 @@
 // Query describes the request that an upstream is chosen for.
 type Query struct {
 	Service string
+	// Route is the name of the request's route, empty if it has none.
+	Route string
 	// Version restricts the choice to one version, NotVersion excludes one;
 	// neither applies if empty.
 	Version, NotVersion string
--- a/internal/core/placement/set.go
+++ b/internal/core/placement/set.go
@@ -170,9 +170,12 @@
 	return list
 }
 
-// Expire removes expired prompt parts and pauses that have ended.
+// Expire removes expired prompt parts, pauses that have ended and usual times of unused routes.
 func (s *Set) Expire(now time.Time) {
 	s.expirePauses(now)
+	for _, service := range s.learner.services {
+		service.expire(now)
+	}
 	for _, m := range s.members {
 		m.expireParts(now)
 	}
