placement: measure by usable upstreams, refuse nobody for what is learned

An evacuated or paused upstream stayed the measure of the others' stated slowdown, counted in the learned median and in the half that misses its goals. And a wait was scaled by the learned factor before it was compared with the longest one, so that learned slowness refused requests; only the slowdown that the upstream states counts there now. TestUnusableUpstreamIsNoMeasure, TestUnusableUpstreamsAreNotTheUsual and TestLearnedSlownessRefusesNobody fail without the change.

--- a/internal/core/capacity/estimator.go
+++ b/internal/core/capacity/estimator.go
@@ -67,12 +67,18 @@
 	// sampledAt. It is halved in the same time as the weights.
 	missing float64
 	room    room
+	// unusable is set if the upstream gets no requests at the moment.
+	unusable bool
 	// asUsual is set if the latest sample was as usual.
 	asUsual bool
 	// factor and available, the room, are the estimates as of the group's last refresh.
 	factor, available float64
 }
 
+// SetUsable sets whether the upstream may get requests at the moment. The group measures its members
+// by the usable ones alone.
+func (e *Estimator) SetUsable(usable bool) { e.unusable = !usable }
+
 // Observe adds a sample. One with an impossible time is ignored.
 func (e *Estimator) Observe(now time.Time, s Sample) {
 	if s.At.After(now) {
--- a/internal/core/capacity/group.go
+++ b/internal/core/capacity/group.go
@@ -11,9 +11,9 @@
 // Group holds the estimators of a service's upstreams. Its zero value is empty.
 type Group struct {
 	members []*Estimator
-	// usual is the median of the members' stretches, as a logarithm.
+	// usual is the median of the usable members' stretches, as a logarithm.
 	usual float64
-	// overloaded is set while more than half of the members miss their goals: that is a load, and no
+	// overloaded is set while more than half of the usable members miss their goals: that is a load, and no
 	// upstream's room is to blame.
 	overloaded  bool
 	hasSlow     bool
@@ -34,9 +34,15 @@
 	g.members = slices.DeleteFunc(g.members, func(other *Estimator) bool { return other == e })
 }
 
+// NeedsRefresh reports whether the estimates were not computed just before.
+func (g *Group) NeedsRefresh(now time.Time) bool {
+	age := now.Sub(g.refreshedAt)
+	return age < 0 || age >= refreshInterval
+}
+
 // Refresh computes the estimates of all members, unless that was done just before.
 func (g *Group) Refresh(now time.Time) {
-	if age := now.Sub(g.refreshedAt); age >= 0 && age < refreshInterval {
+	if !g.NeedsRefresh(now) {
 		return
 	}
 	g.refreshedAt = now
@@ -45,33 +51,39 @@
 	g.hasSlow = false
 	for _, e := range g.members {
 		e.refresh(now)
-		g.hasSlow = g.hasSlow || e.IsSlow()
+		g.hasSlow = g.hasSlow || !e.unusable && e.IsSlow()
 	}
 }
 
-// HasSlow reports whether a member is slow.
+// HasSlow reports whether a usable member is slow.
 func (g *Group) HasSlow() bool { return g.hasSlow }
 
 func (g *Group) isOverloaded(now time.Time) bool {
-	missing := 0
+	missing, usable := 0, 0
 	for _, e := range g.members {
+		if e.unusable {
+			continue
+		}
+		usable++
 		if e.isMissing(now) {
 			missing++
 		}
 	}
-	return 2*missing > len(g.members)
+	return 2*missing > usable
 }
 
-// median returns the median of the members' stretches. An upstream without samples counts as
+// median returns the median of the usable members' stretches. An upstream without samples counts as
 // usual, so that a few slow ones are not the measure of a service whose other upstreams nobody
 // reports.
 func (g *Group) median(now time.Time) float64 {
-	if len(g.members) == 0 {
-		return 0
-	}
 	g.buffer = g.buffer[:0]
 	for _, e := range g.members {
-		g.buffer = append(g.buffer, e.stretch(now))
+		if !e.unusable {
+			g.buffer = append(g.buffer, e.stretch(now))
+		}
+	}
+	if len(g.buffer) == 0 {
+		return 0
 	}
 	slices.Sort(g.buffer)
 	return g.buffer[(len(g.buffer)-1)/2]
--- a/internal/core/placement/learned.go
+++ b/internal/core/placement/learned.go
@@ -292,9 +292,16 @@
 
 // refreshLearned brings the estimates of a service up to date.
 func (s *Set) refreshLearned(now time.Time, service string) {
-	if l := s.learnedService(service); l != nil {
-		l.group.Refresh(now)
+	l := s.learnedService(service)
+	if l == nil || !l.group.NeedsRefresh(now) {
+		return
+	}
+	for _, m := range s.sorted {
+		if m.Service == service && m.learned != nil {
+			m.learned.SetUsable(m.State == StateReady && s.Admits(now, m.Upstream))
+		}
 	}
+	l.group.Refresh(now)
 }
 
 // applyLearned changes the inputs of the cost function by what is learned of an upstream, and
--- a/internal/core/placement/learned_test.go
+++ b/internal/core/placement/learned_test.go
@@ -385,3 +385,49 @@
 	c.Assert(work("short"), qt.Equals, usualTime)
 	c.Assert(work("long"), qt.Equals, plainServiceTime)
 }
+
+// TestUnusableUpstreamsAreNotTheUsual: with the only usual upstreams evacuated, those that are left
+// were held to be slow, although there are no others.
+func TestUnusableUpstreamsAreNotTheUsual(t *testing.T) {
+	c := qt.New(t)
+	s := newLearningWorld(1, 0).nodes[0]
+	for i := range 5 {
+		s.Put(Upstream{ID: fmt.Sprint("u", i), Service: "s", Zone: fmt.Sprint("z", i/3), Slots: learnedSlots, State: StateReady})
+	}
+	learn := func(id string, stretch float64) {
+		for range 10 {
+			s.observeOwn(epoch, s.members[id], capacity.Sample{At: epoch, Stretch: stretch, Weight: 1})
+		}
+	}
+	for i, stretch := range []float64{1, 1, 1, 2, 2} {
+		learn(fmt.Sprint("u", i), stretch)
+	}
+	s.refreshLearned(epoch, "s")
+	c.Assert(s.members["u3"].learned.IsSlow(), qt.IsTrue)
+	s.SetEvacuated([]string{"z0"})
+	s.refreshLearned(epoch.Add(time.Second), "s")
+	c.Assert(s.members["u3"].learned.IsSlow(), qt.IsFalse)
+	c.Assert(s.learnedService("s").group.HasSlow(), qt.IsFalse)
+}
+
+// TestLearnedSlownessRefusesNobody: a request waited at the node or was turned away because the time
+// at an upstream that is only learned to be slow exceeds what it may wait there. What the upstream
+// itself states still counts.
+func TestLearnedSlownessRefusesNobody(t *testing.T) {
+	c := qt.New(t)
+	s := newSet("a", 2)
+	s.Learn(LearnOn)
+	for range 10 {
+		s.observeOwn(epoch, s.members["u0"], capacity.Sample{At: epoch, Stretch: 3, Weight: 1})
+	}
+	q := engineQuery(prompt("p", 0, 6000))
+	load := UpstreamLoad{Prefill: 12_000}
+	s.SetPeerLoads("b", map[string]UpstreamLoad{"u0": load, "u1": {Prefill: 100_000}})
+	q.MaxWait = s.members["u0"].wait(load, q, s.Speed("s")) + time.Millisecond
+	_, ok := s.Pick(epoch, q)
+	c.Assert(s.members["u0"].learned.Factor() > 2, qt.IsTrue)
+	c.Assert(ok, qt.IsTrue)
+	s.RecordReport(epoch, "u0", Report{Slots: 64, Slowdown: 2})
+	_, ok = s.Pick(epoch, q)
+	c.Assert(ok, qt.IsFalse)
+}
--- a/internal/core/placement/pick.go
+++ b/internal/core/placement/pick.go
@@ -65,12 +65,15 @@
 		candidate := s.candidate(now, m, load, q, preferred, speed)
 		factor := s.applyLearned(&candidate, m, load, q)
 		candidate.Probe = m.needsProbe(now, load, probing)
-		candidate.slowDown(factor * m.slowdown(now) / least)
+		stated := m.slowdown(now) / least
+		// What is only learned of an upstream is a cost and refuses nobody.
+		wait := scale(candidate.Wait, stated)
+		candidate.slowDown(factor * stated)
 		limit := q.MaxWait
 		if m.hash < reserved {
 			limit = min(limit, q.UrgentWait)
 		}
-		if limit > 0 && candidate.Wait > limit {
+		if limit > 0 && wait > limit {
 			continue
 		}
 		cost := s.cost(candidate) + s.jitter(q, m.slots(q), jitter)
--- a/internal/core/placement/report.go
+++ b/internal/core/placement/report.go
@@ -88,12 +88,12 @@
 	return 1 + freshness(now.Sub(m.reportedAt), slowdownMaxAge)*(m.report.Slowdown-1)
 }
 
-// leastSlowdown returns the slowdown of the fastest upstream that may take the request, at least
+// leastSlowdown returns the slowdown of the fastest upstream that may take the request now, at least
 // 1. Upstreams are compared with it, so that slow ones are used as before when all are slow.
 func (s *Set) leastSlowdown(now time.Time, q Query, ejected bool) float64 {
 	least := 0.0
 	for _, m := range s.sorted {
-		if !m.eligible(now, q, ejected) {
+		if !m.eligible(now, q, ejected) || !s.Admits(now, m.Upstream) {
 			continue
 		}
 		slowdown := m.slowdown(now)
--- a/internal/core/placement/report_test.go
+++ b/internal/core/placement/report_test.go
@@ -162,3 +162,17 @@
 		c.Check(n <= 45, qt.IsTrue, qt.Commentf("%d of 90 at %s", n, id))
 	}
 }
+
+// TestUnusableUpstreamIsNoMeasure: the others all slow, an evacuated or paused upstream at its usual
+// speed stayed the one that they were compared with, though it gets nothing, so that requests waited
+// or were turned away.
+func TestUnusableUpstreamIsNoMeasure(t *testing.T) {
+	c := qt.New(t)
+	s := newSet("a", 3)
+	s.RecordReport(epoch, "u1", Report{Slots: 64, Slowdown: 4})
+	s.RecordReport(epoch, "u2", Report{Slots: 64, Slowdown: 4})
+	c.Assert(s.leastSlowdown(epoch, plainQuery, false), qt.Equals, 1.0)
+	u, _ := s.Get("u0")
+	s.RecordPause(epoch, u, time.Minute)
+	c.Assert(s.leastSlowdown(epoch, plainQuery, false), qt.Equals, 4.0)
+}
