--- a/internal/core/capacity/estimator.go
+++ b/internal/core/capacity/estimator.go
@@ -17,9 +17,10 @@
 	// priorWeight is the weight of the assumption that an upstream is as usual, in samples.
 	priorWeight = 1.0
 	// missingStep is the weight of a sample in the part of the samples that missed their goals,
-	// minMissing the part from which on an upstream counts as missing them.
+	// minMissing the part from which on an upstream counts as missing them: one sample does not
+	// reach it.
 	missingStep = 0.5
-	minMissing  = 0.5
+	minMissing  = 0.6
 	// minSamples is the number of samples below which an upstream counts as usual.
 	minSamples = 3
 	// memory is the time after which samples weigh half if no others follow.
@@ -62,15 +63,22 @@
 	lasting, latest mean
 	samples         int
 	sampledAt       time.Time
-	// missing is the moving average of the part of the samples that missed their goals.
+	// missing is the moving average of the part of the samples that missed their goals, as of
+	// sampledAt. It is halved in the same time as the weights.
 	missing float64
 	room    room
+	// unusable is set if the upstream gets no requests at the moment.
+	unusable bool
 	// asUsual is set if the latest sample was as usual.
 	asUsual bool
 	// factor and available, the room, are the estimates as of the group's last refresh.
 	factor, available float64
 }
 
+// SetUsable sets whether the upstream may get requests at the moment. The group measures its members
+// by the usable ones alone.
+func (e *Estimator) SetUsable(usable bool) { e.unusable = !usable }
+
 // Observe adds a sample. One with an impossible time is ignored.
 func (e *Estimator) Observe(now time.Time, s Sample) {
 	if s.At.After(now) {
@@ -116,6 +124,7 @@
 	left := halved(at.Sub(e.sampledAt), memory)
 	e.lasting.weight *= left
 	e.latest.weight *= left
+	e.missing *= left
 	e.sampledAt = at
 }
 
@@ -143,6 +152,11 @@
 	return latest
 }
 
+// isMissing reports whether the upstream misses its goals at a time.
+func (e *Estimator) isMissing(now time.Time) bool {
+	return e.missing*halved(now.Sub(e.sampledAt), memory) >= minMissing
+}
+
 func (e *Estimator) refresh(now time.Time) {
 	e.factor, e.available = 1, e.room.left(now)
 	if e.samples < minSamples {
--- a/internal/core/placement/learned.go
+++ b/internal/core/placement/learned.go
@@ -34,6 +34,10 @@
 	probePart = 0.03
 	// probeAge is the age of the latest sample of an upstream from which on it is probed.
 	probeAge = 300 * time.Millisecond
+	// followUpMaxAge is the age of a probe that was as usual from which on it isn't followed up.
+	followUpMaxAge = 2 * time.Second
+	// usualRetention is the time for which the usual time of a route without answers is kept.
+	usualRetention = 5 * time.Minute
 )
 
 // learner learns how much work the upstreams take well.
@@ -49,11 +53,17 @@
 type learnedService struct {
 	group capacity.Group
 	// usual holds the usual times of whole answers, by route.
-	usual map[string]*capacity.Usual
+	usual map[string]*routeTime
 	// reports is set once an upstream of the service has reported how long work takes there.
 	reports bool
 }
 
+// routeTime is the usual time of a route's answers, with the time of the latest one.
+type routeTime struct {
+	capacity.Usual
+	usedAt time.Time
+}
+
 // learningRequest is what is kept of a request to learn from its time.
 type learningRequest struct {
 	// route is empty if the time is not learned from.
@@ -77,12 +87,14 @@
 }
 
 // Learn sets the services that the set learns about. What was learned before is dropped if they
-// change.
+// change. The numbers of this node's samples go on, as peers ignore those that they know.
 func (s *Set) Learn(mode Learning) {
 	if mode == s.learner.mode {
 		return
 	}
+	last := s.learner.samples.last
 	s.learner = newLearner(mode)
+	s.learner.samples.last = last
 	for _, m := range s.sorted {
 		m.learned, m.logged = nil, loggedCapacity{}
 		s.startLearning(m)
@@ -98,7 +110,7 @@
 	}
 	service := s.learner.services[m.Service]
 	if service == nil {
-		service = &learnedService{usual: make(map[string]*capacity.Usual)}
+		service = &learnedService{usual: make(map[string]*routeTime)}
 		s.learner.services[m.Service] = service
 	}
 	m.learned = service.group.Add()
@@ -182,9 +194,10 @@
 	}
 	usual := service.usual[r.learning.route]
 	if usual == nil {
-		usual = &capacity.Usual{}
+		usual = &routeTime{}
 		service.usual[r.learning.route] = usual
 	}
+	usual.usedAt = now
 	took := now.Sub(r.placedAt)
 	slowdown := r.learning.explained(m.statedSlowdown(now))
 	stretch, ok := usual.Observe(time.Duration(float64(took) / (slowdown * turns(r.learning.running, m.Slots))))
@@ -268,6 +281,10 @@
 // observeOwn adds a sample of this node, and shares it if it tells peers something.
 func (s *Set) observeOwn(now time.Time, m *member, sample capacity.Sample) {
 	m.learned.Observe(now, sample)
+	m.usualAt = time.Time{}
+	if m.learned.MayHaveRecovered() {
+		m.usualAt = now
+	}
 	if m.learned.IsNotable(sample) || m.learned.Differs() {
 		s.learner.samples.share(m.processHash(), sample)
 	}
@@ -275,9 +292,16 @@
 
 // refreshLearned brings the estimates of a service up to date.
 func (s *Set) refreshLearned(now time.Time, service string) {
-	if l := s.learnedService(service); l != nil {
-		l.group.Refresh(now)
+	l := s.learnedService(service)
+	if l == nil || !l.group.NeedsRefresh(now) {
+		return
+	}
+	for _, m := range s.sorted {
+		if m.Service == service && m.learned != nil {
+			m.learned.SetUsable(m.State == StateReady && s.Admits(now, m.Upstream))
+		}
 	}
+	l.group.Refresh(now)
 }
 
 // applyLearned changes the inputs of the cost function by what is learned of an upstream, and
@@ -288,7 +312,7 @@
 		return 1
 	}
 	if q.Slots == 0 {
-		c.Work = max(c.Work, service.usualTime())
+		c.Work = max(c.Work, service.usualTime(q.Route))
 	}
 	slots := m.slots(q)
 	c.BeyondRoom = slots > 0 && load.Running >= m.takes(slots)
@@ -303,21 +327,36 @@
 }
 
 // needsProbe reports whether a request is sent to a slow upstream as a probe: it runs nothing, and
-// its latest sample is old, if the request was drawn, or was as usual.
+// its latest sample is old, if the request was drawn, or was as usual and of this node. A sample of a
+// peer is followed up by the peer alone; otherwise all nodes would send a request there at once.
 func (m *member) needsProbe(now time.Time, load UpstreamLoad, drawn bool) bool {
 	if m.learned == nil || load.Running > 0 || !m.learned.IsSlow() {
 		return false
 	}
-	return m.learned.MayHaveRecovered() || drawn && m.learned.Age(now) >= probeAge
+	return m.followsUp(now) || drawn && m.learned.Age(now) >= probeAge
+}
+
+// followsUp reports whether this node's own latest sample of a slow upstream was as usual, and no
+// later one of a peer differs.
+func (m *member) followsUp(now time.Time) bool {
+	return m.learned.MayHaveRecovered() && now.Sub(m.usualAt) < followUpMaxAge
+}
+
+// usualTime returns the usual time of a route's answers, 0 if it is not known.
+func (l *learnedService) usualTime(route string) time.Duration {
+	if usual := l.usual[route]; usual != nil {
+		return usual.Time()
+	}
+	return 0
 }
 
-// usualTime returns the longest of the usual times of the service's routes.
-func (l *learnedService) usualTime() time.Duration {
-	longest := time.Duration(0)
-	for _, u := range l.usual {
-		longest = max(longest, u.Time())
+// expire forgets the usual times of routes that are no longer used.
+func (l *learnedService) expire(now time.Time) {
+	for route, usual := range l.usual {
+		if now.Sub(usual.usedAt) >= usualRetention {
+			delete(l.usual, route)
+		}
 	}
-	return longest
 }
 
 // takes returns the number of requests that the upstream takes well at once, the number of its
--- a/internal/core/placement/set.go
+++ b/internal/core/placement/set.go
@@ -48,6 +48,9 @@
 	placed int
 	// learned estimates how much work the upstream takes well, nil if that is not learned.
 	learned *capacity.Estimator
+	// usualAt is when this node's own latest sample arrived, if it was as usual although the
+	// upstream is slow, otherwise zero.
+	usualAt time.Time
 	// logged is what was logged last of it.
 	logged loggedCapacity
 }
@@ -106,10 +109,10 @@
 }
 
 // Put adds or updates an upstream. Load and health recorded for an earlier
-// process under the same ID are dropped.
+// process under the same ID, or for it in another service, are dropped.
 func (s *Set) Put(u Upstream) {
 	m := s.members[u.ID]
-	if m == nil || !m.StartedAt.Equal(u.StartedAt) {
+	if m == nil || !m.StartedAt.Equal(u.StartedAt) || m.Service != u.Service {
 		m = &member{
 			hash:    xxhash.Sum64String(u.ID),
 			running: make(map[uint64]*activeRequest),
@@ -167,9 +170,12 @@
 	return list
 }
 
-// Expire removes expired prompt parts and pauses that have ended.
+// Expire removes expired prompt parts, pauses that have ended and usual times of unused routes.
 func (s *Set) Expire(now time.Time) {
 	s.expirePauses(now)
+	for _, service := range s.learner.services {
+		service.expire(now)
+	}
 	for _, m := range s.members {
 		m.expireParts(now)
 	}
