evacuation: forget ended evacuations, and refuse odd marks of peers

A node that had forgotten an ended evacuation took it again from a peer that had not yet, so that statuses named every zone ever evacuated. An end that the node's own reads include is no longer taken, and reads no longer raise the revision of an end. Marks of an earlier generation count for Retention after the first read of the new one: a node that was cut off for long could evacuate a zone everywhere. A mark of a generation that the peer's status does not know is dropped, and one at a revision that the store has not reached gives way to the node's own list after 10 s.

TestEndsAreNotPassedRound, TestLongPastGeneration and TestOddMark failed before and pass now; calls in the older tests name the generation of the peer.

--- a/internal/core/evacuation/register.go
+++ b/internal/core/evacuation/register.go
@@ -1,6 +1,7 @@
 package evacuation
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -8,15 +9,18 @@
 	"monsoonlanding/internal/core/store"
 )
 
-// Retention is the time for which a zone that was taken back is remembered, and for which one
+// Retention is the time for which the end of an evacuation is remembered, and for which a zone
 // stays evacuated whose order the store has lost.
 const Retention = 10 * time.Minute
 
+// maxListAge is the maximum time between the begin of a list and its processing.
+const maxListAge = 10 * time.Second
+
 // Mark is the state of a zone at a revision of the store.
 type Mark struct {
 	Zone string `cbor:"1,keyasint"`
-	// Back is set if the zone is not evacuated, or no longer.
-	Back       bool  `cbor:"2,keyasint,omitempty"`
+	// Ended is set if the zone is not evacuated, or no longer.
+	Ended      bool  `cbor:"2,keyasint,omitempty"`
 	Generation int64 `cbor:"3,keyasint,omitempty"`
 	Revision   int64 `cbor:"4,keyasint"`
 }
@@ -39,17 +43,25 @@
 	// known is the revision up to which this node's own reads are complete.
 	known store.Revision
 	read  bool
+	// generationAt is when this node first read the store in the generation of known.
+	generationAt time.Time
+	// refused holds, by zone, a revision of a peer's mark that the store has not reached.
+	refused map[string]store.Revision
 }
 
 type mark struct {
 	Mark
-	// since is when the zone was taken back or its order was lost, zero for a zone whose
+	// setAt is when the mark was set.
+	setAt time.Time
+	// since is when the evacuation has ended or its order was lost, zero for a zone whose
 	// order is in the store.
 	since time.Time
 }
 
 // New returns a register that knows no evacuated zone.
-func New() *Register { return &Register{marks: make(map[string]*mark)} }
+func New() *Register {
+	return &Register{marks: make(map[string]*mark), refused: make(map[string]store.Revision)}
+}
 
 // Read reports whether the orders in the store have been read.
 func (r *Register) Read() bool { return r.read }
@@ -60,11 +72,11 @@
 	if at.Before(r.known) {
 		return nil
 	}
-	r.read = true
+	r.refuseOdd(now, at)
 	changes := r.put(now, at, zones)
 	for _, m := range r.sorted() {
 		switch {
-		case m.Back || slices.Contains(zones, m.Zone):
+		case m.Ended || slices.Contains(zones, m.Zone):
 		case m.Generation == at.Generation:
 			changes = append(changes, r.set(now, newMark(m.Zone, true, at))...)
 		case m.since.IsZero() && m.At().Before(at):
@@ -72,15 +84,32 @@
 			changes = append(changes, Change{Mark: m.Mark, Lost: true})
 		}
 	}
-	r.complete(at)
+	r.complete(now, at)
+	r.read = true
 	return changes
 }
 
-// complete records that all zones are as marked at a revision.
-func (r *Register) complete(at store.Revision) {
+// refuseOdd makes way for the list of a revision where a mark names a later one that was set
+// longer ago than the list can have taken: the store has not reached that revision.
+func (r *Register) refuseOdd(now time.Time, at store.Revision) {
+	maps.DeleteFunc(r.refused, func(_ string, odd store.Revision) bool { return odd.Compare(at) <= 0 || odd.Generation < at.Generation })
+	for _, m := range r.marks {
+		if m.Generation == at.Generation && m.Revision > at.Number && now.Sub(m.setAt) >= maxListAge {
+			r.refused[m.Zone] = m.At()
+			m.Revision = at.Number - 1
+		}
+	}
+}
+
+// complete records that all zones are as marked at a revision. Marks of zones whose evacuation
+// has ended keep theirs: peers that have read a later one need not remember the zone.
+func (r *Register) complete(now time.Time, at store.Revision) {
+	if !r.read || at.Generation > r.known.Generation {
+		r.generationAt = now
+	}
 	r.known = at
 	for _, m := range r.marks {
-		if m.Generation == at.Generation {
+		if m.Generation == at.Generation && !m.Ended {
 			m.Revision = max(m.Revision, at.Number)
 		}
 	}
@@ -98,7 +127,7 @@
 			changes = append(changes, r.set(now, newMark(zone, true, at))...)
 		}
 	}
-	r.complete(at)
+	r.complete(now, at)
 	return changes
 }
 
@@ -110,16 +139,16 @@
 	return changes
 }
 
-// Reported processes a peer's marks. A zone that was evacuated before this node's own latest read of
-// the same generation, which has no order for it, has been taken back: the peer learns that from
-// this node's mark.
-func (r *Register) Reported(now time.Time, marks []Mark) []Change {
+// Reported processes the marks of a peer that knows a generation of the store. A zone that was
+// evacuated before this node's own latest read of the same generation, which has no order for it,
+// is no longer: the peer learns that from this node's mark.
+func (r *Register) Reported(now time.Time, generation int64, marks []Mark) []Change {
 	var changes []Change
 	for _, m := range marks {
-		if m.Zone == "" {
+		if m.Zone == "" || m.Generation > generation || r.isOld(now, m) || m.At() == r.refused[m.Zone] {
 			continue
 		}
-		if !m.Back && m.Generation == r.known.Generation && m.At().Before(r.known) {
+		if !m.Ended && m.Generation == r.known.Generation && m.At().Before(r.known) {
 			m = newMark(m.Zone, true, r.known)
 		}
 		changes = append(changes, r.set(now, m)...)
@@ -127,8 +156,21 @@
 	return changes
 }
 
-func newMark(zone string, back bool, at store.Revision) Mark {
-	return Mark{Zone: zone, Back: back, Generation: at.Generation, Revision: at.Number}
+// isOld reports whether a peer's mark says nothing to a node that has read the store: the end of an
+// evacuation that its own reads include, or one of a generation that is long past.
+func (r *Register) isOld(now time.Time, m Mark) bool {
+	switch {
+	case !r.read:
+		return false
+	case m.Generation < r.known.Generation:
+		return now.Sub(r.generationAt) > Retention
+	default:
+		return m.Ended && r.marks[m.Zone] == nil && !r.known.Before(m.At())
+	}
+}
+
+func newMark(zone string, ended bool, at store.Revision) Mark {
+	return Mark{Zone: zone, Ended: ended, Generation: at.Generation, Revision: at.Number}
 }
 
 // set sets a mark unless one at a later revision is known, and returns the change of the zone's
@@ -138,30 +180,30 @@
 	if own != nil && m.At().Compare(own.At()) <= 0 {
 		return nil
 	}
-	wasBack := own == nil || own.Back
-	next := &mark{Mark: m}
-	if m.Back {
+	hadEnded := own == nil || own.Ended
+	next := &mark{Mark: m, setAt: now}
+	if m.Ended {
 		next.since = now
-		if own != nil && own.Back {
+		if own != nil && own.Ended {
 			next.since = own.since
 		}
 	}
 	r.marks[m.Zone] = next
-	if wasBack == m.Back {
+	if hadEnded == m.Ended {
 		return nil
 	}
 	return []Change{{Mark: m}}
 }
 
-// Expire forgets the zones that were taken back long ago, and returns those whose orders the
-// store has lost as long ago as taken back.
+// Expire forgets the evacuations that have ended long ago, and ends those whose orders the store has
+// lost as long ago.
 func (r *Register) Expire(now time.Time) []Change {
 	var changes []Change
 	for _, m := range r.sorted() {
 		if m.since.IsZero() || now.Sub(m.since) < Retention {
 			continue
 		}
-		if m.Back {
+		if m.Ended {
 			delete(r.marks, m.Zone)
 			continue
 		}
@@ -174,7 +216,7 @@
 func (r *Register) Zones() []string {
 	var zones []string
 	for _, m := range r.sorted() {
-		if !m.Back {
+		if !m.Ended {
 			zones = append(zones, m.Zone)
 		}
 	}
--- a/internal/core/evacuation/register_test.go
+++ b/internal/core/evacuation/register_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -17,7 +18,7 @@
 	return store.Revision{Generation: generation, Number: number}
 }
 
-// TestObservationsInAnyOrder guards against a zone that is evacuated, taken back and evacuated
+// TestObservationsInAnyOrder guards against a zone that is evacuated, used again and evacuated
 // again within a second, while lists, changes and reports of it overtake each other: an older one
 // must not set a newer one back, at any node.
 func TestObservationsInAnyOrder(t *testing.T) {
@@ -63,7 +64,7 @@
 				}
 			default:
 				from := rng.IntN(len(nodes))
-				r.Reported(epoch, nodes[from].Report())
+				r.Reported(epoch, 0, nodes[from].Report())
 				if len(nodes[from].Report()) > 0 {
 					latest[i] = max(latest[i], nodes[from].Report()[0].Revision)
 				}
@@ -79,13 +80,13 @@
 	c := qt.New(t)
 	r := New()
 	r.Listed(epoch, at(1, 20), nil)
-	c.Assert(r.Reported(epoch, []Mark{{Zone: "z", Generation: 1, Revision: 19}}), qt.HasLen, 0)
-	c.Assert(r.Reported(epoch, []Mark{{Zone: "z", Generation: 1, Revision: 21}}), qt.HasLen, 1)
+	c.Assert(r.Reported(epoch, 1, []Mark{{Zone: "z", Generation: 1, Revision: 19}}), qt.HasLen, 0)
+	c.Assert(r.Reported(epoch, 1, []Mark{{Zone: "z", Generation: 1, Revision: 21}}), qt.HasLen, 1)
 	c.Assert(r.Zones(), qt.DeepEquals, []string{"z"})
 }
 
 // TestLostOrder: a store that is restored from a copy may lack the order of an evacuation that
-// the operator has not taken back. The zone stays evacuated, until the operator writes and removes
+// the operator has not ended. The zone stays evacuated, until the operator writes and removes
 // the order again, or for Retention.
 func TestLostOrder(t *testing.T) {
 	restored := func() (*Register, []Change) {
@@ -112,33 +113,33 @@
 		c.Assert(r.Expire(epoch.Add(Retention)), qt.HasLen, 1)
 		c.Assert(r.Zones(), qt.HasLen, 0)
 		// A peer that has not given it up yet does not bring it back.
-		c.Assert(r.Reported(epoch.Add(Retention), []Mark{{Zone: "z", Generation: 1, Revision: 20}}), qt.HasLen, 0)
+		c.Assert(r.Reported(epoch.Add(Retention), 2, []Mark{{Zone: "z", Generation: 1, Revision: 20}}), qt.HasLen, 0)
 	})
 	t.Run("node that starts after the restore", func(t *testing.T) {
 		c := qt.New(t)
 		r, _ := restored()
 		started := New()
 		started.Listed(epoch, at(2, 6), nil)
-		started.Reported(epoch, r.Report())
+		started.Reported(epoch, 2, r.Report())
 		c.Assert(started.Zones(), qt.DeepEquals, []string{"z"})
 		started.Listed(epoch, at(2, 9), nil)
 		c.Assert(started.Zones(), qt.DeepEquals, []string{"z"})
 	})
-	t.Run("taken back at one node", func(t *testing.T) {
+	t.Run("ended at one node", func(t *testing.T) {
 		c := qt.New(t)
 		r, _ := restored()
 		other, _ := restored()
 		r.Changed(epoch, at(2, 7), []string{"z"}, nil)
 		r.Changed(epoch, at(2, 8), nil, []string{"z"})
 		other.Listed(epoch, at(2, 9), nil)
-		other.Reported(epoch, r.Report())
+		other.Reported(epoch, 2, r.Report())
 		c.Assert(other.Zones(), qt.HasLen, 0)
-		r.Reported(epoch, []Mark{{Zone: "z", Generation: 1, Revision: 20}})
+		r.Reported(epoch, 1, []Mark{{Zone: "z", Generation: 1, Revision: 20}})
 		c.Assert(r.Zones(), qt.HasLen, 0)
 	})
 }
 
-// TestRestoredOrder: the copy may have an order that was taken back since. The store counts: the
+// TestRestoredOrder: the copy may have an order that was removed since. The store counts: the
 // operator sees it there and can remove it.
 func TestRestoredOrder(t *testing.T) {
 	c := qt.New(t)
@@ -149,7 +150,7 @@
 	c.Assert(r.Zones(), qt.DeepEquals, []string{"z"})
 }
 
-// TestMarksAreForgotten: zones that were taken back don't add up in the statuses of a process.
+// TestMarksAreForgotten: evacuations that have ended don't add up in the statuses of a process.
 func TestMarksAreForgotten(t *testing.T) {
 	c := qt.New(t)
 	r := New()
@@ -161,3 +162,87 @@
 	r.Expire(epoch.Add(Retention))
 	c.Assert(r.Report(), qt.HasLen, 0)
 }
+
+// TestEndsAreNotPassedRound: statuses went on to name every zone that was ever evacuated, because
+// a node that had forgotten one took it again from a peer that had not yet. It stays forgotten, and
+// a late report of the evacuation does not bring it back.
+func TestEndsAreNotPassedRound(t *testing.T) {
+	c := qt.New(t)
+	const step = 10 * time.Second
+	nodes := []*Register{New(), New(), New()}
+	for i, r := range nodes {
+		r.Listed(epoch.Add(time.Duration(i)*step), at(0, 20), []string{"z"})
+	}
+	marks, ended := nodes[0].Report(), epoch.Add(time.Minute)
+	for n := 0; n < int(2*Retention/step); n++ {
+		now := ended.Add(time.Duration(n) * step)
+		for i, r := range nodes {
+			if n >= i {
+				r.Listed(now, at(0, int64(30+3*n+i)), nil)
+			}
+			r.Expire(now)
+			for _, other := range nodes {
+				r.Reported(now, 0, other.Report())
+			}
+		}
+	}
+	for _, r := range nodes {
+		c.Assert(r.Report(), qt.HasLen, 0)
+		r.Reported(ended.Add(2*Retention), 0, marks)
+		c.Assert(r.Zones(), qt.HasLen, 0)
+	}
+}
+
+// TestLongPastGeneration: a node that was cut off for long evacuated a zone everywhere, whose order
+// had been removed and whose store was restored meanwhile.
+func TestLongPastGeneration(t *testing.T) {
+	c := qt.New(t)
+	r := New()
+	r.Listed(epoch, at(1, 20), nil)
+	restored := epoch.Add(time.Hour)
+	r.Listed(restored, at(2, 5), nil)
+	marks := []Mark{{Zone: "z", Generation: 1, Revision: 20}}
+	r.Listed(restored.Add(Retention), at(2, 9), nil)
+	c.Assert(r.Reported(restored.Add(Retention+1), 2, marks), qt.HasLen, 0)
+	c.Assert(r.Zones(), qt.HasLen, 0)
+	// Soon after the restore its order may be lost.
+	c.Assert(r.Reported(restored.Add(Retention), 2, marks), qt.HasLen, 1)
+}
+
+// TestOddMark: a peer's mark at a revision that the store has not reached held for good, and no
+// order of the operator changed it. Each node's next lists of the store overrule it, however often
+// the peer repeats it. A list that is only older than a mark overrules nothing.
+func TestOddMark(t *testing.T) {
+	for _, ended := range []bool{false, true} {
+		t.Run(fmt.Sprint(ended), func(t *testing.T) {
+			c := qt.New(t)
+			var zones []string
+			if ended {
+				zones = []string{"z"}
+			}
+			r := New()
+			r.Listed(epoch, at(1, 20), zones)
+			odd := []Mark{{Zone: "z", Ended: ended, Generation: 1, Revision: math.MaxInt64}}
+			c.Assert(r.Reported(epoch, 1, odd), qt.HasLen, 1)
+			c.Assert(r.Listed(epoch.Add(maxListAge-1), at(1, 21), zones), qt.HasLen, 0)
+			c.Assert(r.Listed(epoch.Add(maxListAge), at(1, 21), zones), qt.HasLen, 1)
+			c.Assert(r.Zones(), qt.DeepEquals, zones)
+			for i := range int64(3) {
+				now := epoch.Add(maxListAge + time.Duration(i))
+				c.Assert(r.Reported(now, 1, odd), qt.HasLen, 0)
+				c.Assert(r.Listed(now, at(1, 22+i), zones), qt.HasLen, 0)
+			}
+			c.Assert(r.Zones(), qt.DeepEquals, zones)
+			r.Listed(epoch.Add(time.Minute), at(1, 30), nil)
+			r.Changed(epoch.Add(time.Minute), at(1, 31), []string{"z"}, nil)
+			c.Assert(r.Zones(), qt.DeepEquals, []string{"z"})
+		})
+	}
+	t.Run("of a generation that the peer itself does not know", func(t *testing.T) {
+		c := qt.New(t)
+		r := New()
+		r.Listed(epoch, at(1, 20), nil)
+		c.Assert(r.Reported(epoch, 1, []Mark{{Zone: "z", Generation: 2, Revision: 1}}), qt.HasLen, 0)
+		c.Assert(r.Zones(), qt.HasLen, 0)
+	})
+}
--- a/internal/core/gateway/evacuations.go
+++ b/internal/core/gateway/evacuations.go
@@ -42,7 +42,7 @@
 // mergeEvacuations takes what a peer knows of the evacuated zones. A node that neither watches
 // nor reaches the store learns of them in this way.
 func (g *Gateway) mergeEvacuations(s peer.Status) {
-	if changes := g.evacuations.Reported(g.now, s.Evacuations); len(changes) > 0 {
+	if changes := g.evacuations.Reported(g.now, s.StoreGeneration, s.Evacuations); len(changes) > 0 {
 		g.applyEvacuations(changes, s.Node)
 	}
 }
@@ -60,7 +60,7 @@
 func (g *Gateway) applyEvacuations(changes []evacuation.Change, source string) {
 	for _, c := range changes {
 		g.logEvacuation(c, source)
-		if c.Back {
+		if c.Ended {
 			g.zoneReturnedAt = g.now
 		}
 	}
@@ -77,8 +77,8 @@
 	switch {
 	case c.Lost:
 		message = "order of an evacuation is lost in the store, zone stays evacuated"
-	case c.Back:
-		message = "availability zone is taken back"
+	case c.Ended:
+		message = "evacuation of an availability zone has ended"
 	}
 	upstreams := 0
 	for _, u := range g.upstreams.All() {
