gateway: list the evacuations again if the first list was dropped

A process that starts while the store is restored drops a list that was read before, and was not ready until its next turn to list. TestDroppedFirstListIsReadAgain failed before and passes now.

--- a/internal/core/gateway/evacuations.go
+++ b/internal/core/gateway/evacuations.go
@@ -16,11 +16,24 @@
 func (g *Gateway) evacuationsListed(e EvacuationsListed) {
 	if e.Revision.Generation < g.storeGeneration {
 		// Read before the store was restored.
+		g.evacuationsDropped = true
+		g.relistEvacuations()
 		return
 	}
 	g.evacuationsRead(g.evacuations.Listed(g.now, e.Revision, e.Zones), "list")
 }
 
+// relistEvacuations lists the evacuations again if a list was dropped before this node has processed
+// any: it is not ready until then, and among many nodes its turn to list is far off.
+func (g *Gateway) relistEvacuations() {
+	if !g.evacuationsDropped || g.evacuationsKnown() || g.now.Before(g.evacuationsRelistAt) {
+		return
+	}
+	g.evacuationsDropped = false
+	g.evacuationsRelistAt = g.now.Add(readInterval)
+	g.emit(ListFeed{Feed: FeedEvacuations})
+}
+
 // evacuationsChanged applies the changes of one read.
 func (g *Gateway) evacuationsChanged(e EvacuationsChanged) {
 	if e.Revision.Generation < g.storeGeneration {
--- a/internal/core/gateway/evacuations_test.go
+++ b/internal/core/gateway/evacuations_test.go
@@ -426,3 +426,26 @@
 		c.Assert(reads[i].Sub(reads[i-1]), qt.Equals, evacuationsInterval)
 	}
 }
+
+// TestDroppedFirstListIsReadAgain: a process that starts while the store is restored drops its first
+// list, which was read before. It waited for its turn to list, over a minute among 70 nodes, and was
+// not ready until then. Lists that are dropped again cost the store two calls a second.
+func TestDroppedFirstListIsReadAgain(t *testing.T) {
+	b := &bench{C: qt.New(t), now: epoch, g: New(Config{
+		Node: "a", Start: 1, Zone: homeZone, FirstStart: true, Bounds: testBounds(), Evacuates: true,
+	}, rand.New(rand.NewPCG(1, 2)))}
+	dropped := EvacuationsListed{Revision: store.Revision{Number: 90}}
+	b.restoreStore(40)
+	b.Assert(lists(FeedEvacuations, b.reduce(dropped)), qt.IsTrue)
+	calls := 0
+	for range 20 {
+		if lists(FeedEvacuations, append(b.reduce(dropped), b.wait(TickInterval)...)) {
+			calls++
+		}
+	}
+	b.Assert(calls >= 2 && calls <= 4, qt.IsTrue, qt.Commentf("%d calls", calls))
+	b.evacuate()
+	b.ready(up("d1", "desk"))
+	b.Assert(b.g.Ready(), qt.IsTrue)
+	b.Assert(lists(FeedEvacuations, append(b.reduce(dropped), b.wait(time.Second)...)), qt.IsFalse)
+}
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -128,7 +128,11 @@
 	reportsSlowdown map[string]bool
 
 	evacuations *evacuation.Register
-	// zoneReturnedAt is when the latest zone was taken back, zero if none was.
+	// evacuationsDropped is set if a list was dropped since the latest was asked for again;
+	// evacuationsRelistAt is the earliest time to do so.
+	evacuationsDropped  bool
+	evacuationsRelistAt time.Time
+	// zoneReturnedAt is when the latest evacuation ended, zero if none has.
 	zoneReturnedAt time.Time
 
 	leaves leaves
@@ -377,6 +381,7 @@
 	g.syncQuarantine()
 	g.checkDrained()
 	g.logCapacities()
+	g.relistEvacuations()
 	if g.now.Before(g.pruneAt) {
 		return
 	}
