gateway: name nodes for one and a half status intervals at least

Callers were not sent to a node whose latest status was 6 s old, which is less than the time between two statuses among 600 nodes. TestDirectoryNamesNodesBetweenStatuses failed before and passes now, TestDirectoryForgetsSilentNodes passes as before.

--- a/internal/core/gateway/directory_test.go
+++ b/internal/core/gateway/directory_test.go
@@ -40,6 +40,21 @@
 	}
 }
 
+// TestDirectoryNamesNodesBetweenStatuses: among many hundreds of nodes the interval of statuses comes
+// near the age from which on a node is not named, and live nodes were left out between two statuses.
+func TestDirectoryNamesNodesBetweenStatuses(t *testing.T) {
+	const nodes = 600
+	b := newBench(t, "n0")
+	b.ready()
+	for n := 1; n < nodes; n++ {
+		b.receive(status(fmt.Sprint("n", n)))
+	}
+	for end := b.now.Add(b.g.interval() * 5 / 4); b.now.Before(end); {
+		b.wait(TickInterval)
+		b.Assert(b.g.CallerAddresses(nodes), qt.HasLen, nodes, qt.Commentf("after %v", b.now.Sub(epoch)))
+	}
+}
+
 // TestDirectoryForgetsLostNodes: among nodes that forward each other's statuses nobody names a lost
 // node later than the bound, be it a single one, a few, or a zone.
 func TestDirectoryForgetsLostNodes(t *testing.T) {
--- a/internal/core/gateway/members.go
+++ b/internal/core/gateway/members.go
@@ -26,10 +26,13 @@
 	// as silent to which no connection can be opened. It is more than the time between two
 	// statuses, so that a peer that is reached in one direction only stays in contact.
 	unreachableIntervals = 1.4
-	// maxNamedAge is the age of a node's latest status from which on callers are not sent to it.
+	// namedAge is the age of a node's latest status from which on callers are not sent to it.
 	// Among hundreds of nodes four intervals are longer, and nobody may be left in a lost zone
 	// who could report it; a node that is left out by chance is named again with its next status.
-	maxNamedAge = 6 * time.Second
+	// namedIntervals times the interval is the age if that is longer, so that a node is named
+	// between two statuses.
+	namedAge       = 6 * time.Second
+	namedIntervals = 1.5
 	// silentPeerInterval is the minimum interval between two statuses to a
 	// silent peer.
 	silentPeerInterval = time.Second
@@ -298,7 +301,12 @@
 
 // isNamed reports whether callers may be sent to a member.
 func (g *Gateway) isNamed(m *member) bool {
-	return g.inContact(m) && m.status.Ready && g.now.Sub(m.lastContact) < maxNamedAge
+	return g.inContact(m) && m.status.Ready && g.now.Sub(m.lastContact) < g.maxNamedAge()
+}
+
+// maxNamedAge returns the age of a status from which on callers are not sent to its node.
+func (g *Gateway) maxNamedAge() time.Duration {
+	return max(namedAge, time.Duration(namedIntervals*float64(g.interval())))
 }
 
 // callerAddresses returns the addresses of nodes that are ready and selected by whether they
