--- a/internal/core/fleet/evacuated_test.go
+++ b/internal/core/fleet/evacuated_test.go
@@ -27,7 +27,7 @@
 	c.Assert(cloud.count("a", true)+cloud.count("a", false), qt.Equals, before)
 	c.Assert(cloud.serving()-before > elsewhere, qt.IsTrue, qt.Commentf("%d serve elsewhere, %d before", cloud.serving()-before, elsewhere))
 
-	// It counts again when it is taken back. Nothing is released before its upstreams are warm.
+	// It counts again when the evacuation ends. Nothing is released before its upstreams are warm.
 	serving := cloud.serving()
 	cloud.evacuated, cloud.keepAll = nil, true
 	cloud.run(10*time.Second, work)
--- a/internal/core/gateway/evacuations_test.go
+++ b/internal/core/gateway/evacuations_test.go
@@ -41,7 +41,7 @@
 }
 
 // TestEvacuatedUpstreamGetsNoRequest: the operator empties a zone, and no way to an upstream may
-// lead there until it is taken back. One row for each way.
+// lead there until the evacuation ends. One row for each way.
 func TestEvacuatedUpstreamGetsNoRequest(t *testing.T) {
 	for _, row := range waysToUpstreams() {
 		t.Run(row.name, func(t *testing.T) {
@@ -164,7 +164,7 @@
 }
 
 // TestAllZonesEvacuated: nothing can be sent, so that callers are refused at once, those that wait
-// too, with a time to come back; they are served as soon as a zone is taken back.
+// too, with a time to come back; they are served as soon as an evacuation ends.
 func TestAllZonesEvacuated(t *testing.T) {
 	b := zonesBench(t)
 	for range 40 {
@@ -194,7 +194,7 @@
 	b.Assert(b.dispatch(effects).Upstream.ID, qt.Equals, "d1")
 }
 
-// TestTwoZonesInARow: the second zone is evacuated as the first is taken back, and the other way
+// TestTwoZonesInARow: the second zone is evacuated as the evacuation of the first ends, and the other way
 // round, in one change of the store.
 func TestTwoZonesInARow(t *testing.T) {
 	b := zonesBench(t)
--- a/internal/core/gateway/event.go
+++ b/internal/core/gateway/event.go
@@ -181,7 +181,7 @@
 	Revision store.Revision
 }
 
-// EvacuationsChanged has the zones that were evacuated and taken back up to a revision.
+// EvacuationsChanged has the zones whose evacuations began and ended up to a revision.
 type EvacuationsChanged struct {
 	Put, Removed []string
 	Revision     store.Revision
--- a/internal/core/gateway/fleet.go
+++ b/internal/core/gateway/fleet.go
@@ -34,7 +34,7 @@
 	// before it orders upstreams. At first it knows neither the load nor its
 	// peers.
 	fleetStartDelay = 1500 * time.Millisecond
-	// returnCooldown is the duration after a zone was taken back in which no upstream is
+	// returnCooldown is the duration after an evacuation has ended in which no upstream is
 	// released: those of the zone may have to warm up.
 	returnCooldown = 30 * time.Second
 )
@@ -207,7 +207,7 @@
 	return r != nil && (r.order.Open() || g.now.Sub(r.endedAt) < rolloutCooldown)
 }
 
-// zoneReturned reports whether a zone was taken back within returnCooldown.
+// zoneReturned reports whether an evacuation has ended within returnCooldown.
 func (g *Gateway) zoneReturned() bool {
 	return !g.zoneReturnedAt.IsZero() && g.now.Sub(g.zoneReturnedAt) < returnCooldown
 }
--- a/internal/core/gateway/state.go
+++ b/internal/core/gateway/state.go
@@ -113,7 +113,12 @@
 }
 
 func (g *Gateway) serviceState(service string) ServiceState {
-	s := ServiceState{Upstreams: g.upstreams.Count(service), Evacuated: g.upstreams.CountEvacuated(service), Paused: g.upstreams.CountPaused(g.now, service), Cold: g.upstreams.CountCold(g.now, service)}
+	s := ServiceState{
+		Upstreams: g.upstreams.Count(service),
+		Evacuated: g.upstreams.CountEvacuated(service),
+		Paused:    g.upstreams.CountPaused(g.now, service),
+		Cold:      g.upstreams.CountCold(g.now, service),
+	}
 	s.Reporting, s.Slow = g.upstreams.CountSlow(g.now, service)
 	for _, r := range g.requests {
 		switch {
