--- a/internal/core/gateway/evacuations.go
+++ b/internal/core/gateway/evacuations.go
@@ -16,11 +16,24 @@
 func (g *Gateway) evacuationsListed(e EvacuationsListed) {
 	if e.Revision.Generation < g.storeGeneration {
 		// Read before the store was restored.
+		g.evacuationsDropped = true
+		g.relistEvacuations()
 		return
 	}
 	g.evacuationsRead(g.evacuations.Listed(g.now, e.Revision, e.Zones), "list")
 }
 
+// relistEvacuations lists the evacuations again if a list was dropped before this node has processed
+// any: it is not ready until then, and among many nodes its turn to list is far off.
+func (g *Gateway) relistEvacuations() {
+	if !g.evacuationsDropped || g.evacuationsKnown() || g.now.Before(g.evacuationsRelistAt) {
+		return
+	}
+	g.evacuationsDropped = false
+	g.evacuationsRelistAt = g.now.Add(readInterval)
+	g.emit(ListFeed{Feed: FeedEvacuations})
+}
+
 // evacuationsChanged applies the changes of one read.
 func (g *Gateway) evacuationsChanged(e EvacuationsChanged) {
 	if e.Revision.Generation < g.storeGeneration {
@@ -42,7 +55,7 @@
 // mergeEvacuations takes what a peer knows of the evacuated zones. A node that neither watches
 // nor reaches the store learns of them in this way.
 func (g *Gateway) mergeEvacuations(s peer.Status) {
-	if changes := g.evacuations.Reported(g.now, s.Evacuations); len(changes) > 0 {
+	if changes := g.evacuations.Reported(g.now, s.StoreGeneration, s.Evacuations); len(changes) > 0 {
 		g.applyEvacuations(changes, s.Node)
 	}
 }
@@ -60,7 +73,7 @@
 func (g *Gateway) applyEvacuations(changes []evacuation.Change, source string) {
 	for _, c := range changes {
 		g.logEvacuation(c, source)
-		if c.Back {
+		if c.Ended {
 			g.zoneReturnedAt = g.now
 		}
 	}
@@ -77,8 +90,8 @@
 	switch {
 	case c.Lost:
 		message = "order of an evacuation is lost in the store, zone stays evacuated"
-	case c.Back:
-		message = "availability zone is taken back"
+	case c.Ended:
+		message = "evacuation of an availability zone has ended"
 	}
 	upstreams := 0
 	for _, u := range g.upstreams.All() {
--- a/internal/core/gateway/evacuations_test.go
+++ b/internal/core/gateway/evacuations_test.go
@@ -41,7 +41,7 @@
 }
 
 // TestEvacuatedUpstreamGetsNoRequest: the operator empties a zone, and no way to an upstream may
-// lead there until it is taken back. One row for each way.
+// lead there until the evacuation ends. One row for each way.
 func TestEvacuatedUpstreamGetsNoRequest(t *testing.T) {
 	for _, row := range waysToUpstreams() {
 		t.Run(row.name, func(t *testing.T) {
@@ -164,7 +164,7 @@
 }
 
 // TestAllZonesEvacuated: nothing can be sent, so that callers are refused at once, those that wait
-// too, with a time to come back; they are served as soon as a zone is taken back.
+// too, with a time to come back; they are served as soon as an evacuation ends.
 func TestAllZonesEvacuated(t *testing.T) {
 	b := zonesBench(t)
 	for range 40 {
@@ -194,7 +194,7 @@
 	b.Assert(b.dispatch(effects).Upstream.ID, qt.Equals, "d1")
 }
 
-// TestTwoZonesInARow: the second zone is evacuated as the first is taken back, and the other way
+// TestTwoZonesInARow: the second zone is evacuated as the evacuation of the first ends, and the other way
 // round, in one change of the store.
 func TestTwoZonesInARow(t *testing.T) {
 	b := zonesBench(t)
@@ -426,3 +426,26 @@
 		c.Assert(reads[i].Sub(reads[i-1]), qt.Equals, evacuationsInterval)
 	}
 }
+
+// TestDroppedFirstListIsReadAgain: a process that starts while the store is restored drops its first
+// list, which was read before. It waited for its turn to list, over a minute among 70 nodes, and was
+// not ready until then. Lists that are dropped again cost the store two calls a second.
+func TestDroppedFirstListIsReadAgain(t *testing.T) {
+	b := &bench{C: qt.New(t), now: epoch, g: New(Config{
+		Node: "a", Start: 1, Zone: homeZone, FirstStart: true, Bounds: testBounds(), Evacuates: true,
+	}, rand.New(rand.NewPCG(1, 2)))}
+	dropped := EvacuationsListed{Revision: store.Revision{Number: 90}}
+	b.restoreStore(40)
+	b.Assert(lists(FeedEvacuations, b.reduce(dropped)), qt.IsTrue)
+	calls := 0
+	for range 20 {
+		if lists(FeedEvacuations, append(b.reduce(dropped), b.wait(TickInterval)...)) {
+			calls++
+		}
+	}
+	b.Assert(calls >= 2 && calls <= 4, qt.IsTrue, qt.Commentf("%d calls", calls))
+	b.evacuate()
+	b.ready(up("d1", "desk"))
+	b.Assert(b.g.Ready(), qt.IsTrue)
+	b.Assert(lists(FeedEvacuations, append(b.reduce(dropped), b.wait(time.Second)...)), qt.IsFalse)
+}
