gateway: a new list of nodes decides anew on roster shares; run/gateway: the load's age counts from its head

TestLoadIsOfItsHead failed once beside load: the stand-in's wait began before the node had read the head, so that the load was younger than the wait. Now it begins with the read.

--- a/internal/core/gateway/roster.go
+++ b/internal/core/gateway/roster.go
@@ -52,6 +52,7 @@
 	r := &g.roster
 	first, wasListed := r.readAt.IsZero(), r.selfListed
 	r.readAt, r.selfListed = g.now, false
+	r.mayUseAt = time.Time{}
 	for _, n := range e.Nodes {
 		r.listedAt[n.Node] = g.now
 		r.selfListed = r.selfListed || n.Node == g.cfg.Node
--- a/internal/run/gateway/load_test.go
+++ b/internal/run/gateway/load_test.go
@@ -16,9 +16,11 @@
 // longer current then.
 func TestLoadIsOfItsHead(t *testing.T) {
 	c := qt.New(t)
+	headRead := make(chan struct{})
 	server, r := newTestNode(c, func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/event-stream")
 		w.(http.Flusher).Flush()
+		<-headRead
 		time.Sleep(500 * time.Millisecond)
 		_, _ = io.WriteString(w, event(1))
 	})
@@ -26,6 +28,7 @@
 	r.cfg.Protocol.ClassifyHead = func(id string, status int, h http.Header) Head {
 		head := classify(id, status, h)
 		head.Signals.Load = &core.Load{Running: 1, Slots: 8, Slowdown: 2}
+		close(headRead)
 		return head
 	}
 	resp, err := get(c, context.Background(), server, "/s/1")
