--- a/internal/core/gateway/roster.go
+++ b/internal/core/gateway/roster.go
@@ -52,7 +52,7 @@
 	r := &g.roster
 	first, wasListed := r.readAt.IsZero(), r.selfListed
 	r.readAt, r.selfListed = g.now, false
-	r.mayUseAt = time.Time{}
+	r.forgetVerdict()
 	for _, n := range e.Nodes {
 		r.listedAt[n.Node] = g.now
 		r.selfListed = r.selfListed || n.Node == g.cfg.Node
@@ -99,6 +99,9 @@
 	return r.mayUse
 }
 
+// forgetVerdict lets the next question be decided anew: the list or the nodes in contact have changed.
+func (r *roster) forgetVerdict() { r.mayUseAt = time.Time{} }
+
 func (g *Gateway) isRosterKnown() bool {
 	r := &g.roster
 	isNew := !r.selfNewAt.IsZero() && g.now.Sub(r.selfNewAt) < g.rosterTime(rosterRetention)
--- a/internal/core/gateway/status.go
+++ b/internal/core/gateway/status.go
@@ -154,6 +154,9 @@
 	if m.status.StoreUnavailable && !s.StoreUnavailable {
 		m.storeRegainedAt = g.now
 	}
+	if !g.inContact(m) {
+		g.roster.forgetVerdict()
+	}
 	m.status = s
 	m.lastContact = g.now
 	m.unreachable, m.reportedUnreachable = false, false
