--- a/internal/core/gateway/cold.go
+++ b/internal/core/gateway/cold.go
@@ -138,7 +138,7 @@
 	if r.answerSent || g.coldOf(r.service) == nil {
 		return false
 	}
-	in := g.upstreams.ColdServiceRoomIn(g.now, r.service)
+	in := g.upstreams.ColdServiceWait(g.now, r.service)
 	return in > 0 && g.now.Add(in).After(r.refuseAt)
 }
 
@@ -148,7 +148,7 @@
 	if g.coldOf(r.service) == nil {
 		return g.retryAfter(base)
 	}
-	return g.retryAfter(max(g.upstreams.ColdServiceRoomIn(g.now, r.service), base))
+	return g.retryAfter(max(g.upstreams.ColdServiceWait(g.now, r.service), base))
 }
 
 // recordEntryCold records what the store's entry of an upstream says of its cold time, and reports
--- a/internal/core/gateway/cold_load_test.go
+++ b/internal/core/gateway/cold_load_test.go
@@ -58,7 +58,7 @@
 		}},
 		{name: "a third removed from the list long ago, which can't read it", upstreams: 2, used: 0.5, prepare: func(w *coldWorld) {
 			w.removeThird()
-			w.now = w.now.Add(w.nodes[1].rosterTime(rosterRetention) + time.Second)
+			w.now = w.now.Add(w.nodes[1].rosterTime(rosterRetentionIntervals) + time.Second)
 			w.removeThird()
 			w.now = w.now.Add(time.Second)
 		}},
--- a/internal/core/gateway/fleet.go
+++ b/internal/core/gateway/fleet.go
@@ -19,9 +19,9 @@
 	// minSurgeRatio is the least ratio of recent work to its average at which it
 	// counts as a surge.
 	minSurgeRatio = 1.3
-	// surgeDeviations is the number of standard deviations of chance that a surge
-	// exceeds, workVariance the variance of the work of single requests, relative to
-	// the square of its mean.
+	// surgeDeviations is the number of standard deviations of irregular arrivals by
+	// which recent work exceeds its average in a surge; workVariance is the variance
+	// of the work of single requests, relative to the square of its mean.
 	surgeDeviations = 3
 	workVariance    = 2
 	// rolloutCooldown is the duration after a verdict in which upstreams of the
@@ -68,9 +68,10 @@
 	surge surge
 }
 
-// totalWork adds up the work of all nodes for a service, as a number of engines: the average, and
-// the recent work during a surge, until the average has followed. Upstreams take seconds to start,
-// so a surge counts before the average shows it.
+// totalWork returns the work of all nodes for a service, as a number of engines: the average, and
+// the recent work during a surge, which fades as the average follows. It records a surge that it
+// finds. Upstreams take seconds to start, so a surge counts before the average shows it. A node
+// that has had no request for the service itself finds none.
 func (g *Gateway) totalWork(service string) (sum, surge float64) {
 	w := g.work[service]
 	recent := 0.0
@@ -98,8 +99,8 @@
 	return sum, w.surge.value(g.now)
 }
 
-// surgeRatio returns the ratio of the recent work to its average above which it is no chance among
-// a number of requests.
+// surgeRatio returns the ratio of recent work to its average above which irregular arrivals of that
+// many requests a second don't explain it.
 func surgeRatio(requests float64) float64 {
 	return max(minSurgeRatio, 1+surgeDeviations*math.Sqrt(workVariance/max(requests, 1)))
 }
@@ -152,6 +153,7 @@
 	}
 }
 
+// planner returns the planner of a service, with its current scaling.
 func (g *Gateway) planner(s route.Service) *fleet.Planner {
 	p := g.planners[s.Name]
 	if p == nil {
@@ -172,6 +174,7 @@
 	return false
 }
 
+// fleetView returns the state of a service for its planner.
 func (g *Gateway) fleetView(service string) fleet.View {
 	work, surge := g.totalWork(service)
 	return fleet.View{
@@ -212,6 +215,7 @@
 	return !g.zoneReturnedAt.IsZero() && g.now.Sub(g.zoneReturnedAt) < returnCooldown
 }
 
+// fleetOrdered processes the platform's answer to an order.
 func (g *Gateway) fleetOrdered(e FleetOrdered) {
 	g.count(CountDuty, "fleet_"+string(e.Outcome))
 	switch e.Outcome {
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -365,7 +365,7 @@
 
 func (g *Gateway) tick() {
 	// A status is half an interval old on average.
-	g.upstreams.SetNewsAge(g.interval()/2 + TickInterval)
+	g.upstreams.SetPeerLoadAge(g.interval()/2 + TickInterval)
 	g.relistAfterReturn()
 	g.removeMissing()
 	g.logColdChanges("time")
--- a/internal/core/gateway/lease.go
+++ b/internal/core/gateway/lease.go
@@ -26,6 +26,8 @@
 	minLeaseFailures = 2
 )
 
+// acquireLease tries to acquire the lease once no node has seemed to hold it for acquireDelay, and
+// to confirm a write without an answer at once.
 func (g *Gateway) acquireLease() {
 	if g.lease.Unconfirmed() {
 		if call, ok := g.lease.Acquire(g.now); ok {
@@ -48,6 +50,7 @@
 	}
 }
 
+// leaseRead processes the result of a read of the lease.
 func (g *Gateway) leaseRead(e LeaseRead) {
 	g.recordLeaseCall(e.Result)
 	g.lease.HandleRead(g.now, e.Result, e.Stored)
@@ -79,6 +82,7 @@
 	return lost
 }
 
+// leaseWritten processes the result of a write of the lease.
 func (g *Gateway) leaseWritten(e LeaseWritten) {
 	g.recordLeaseCall(e.Result)
 	before := g.lease.Held()
@@ -126,7 +130,7 @@
 	return false
 }
 
-// resignLease gives up the lease and tells the peers, so that one of them takes it over without
+// resignLease gives up the lease and reports it to the peers, so that one of them takes it over without
 // waiting for the end of its term.
 func (g *Gateway) resignLease() {
 	if !g.lease.Resign(g.now) {
--- a/internal/core/gateway/move.go
+++ b/internal/core/gateway/move.go
@@ -67,7 +67,7 @@
 	if g.isEvacuated(source) {
 		return
 	}
-	if !g.upstreams.Admits(g.now, source) || g.upstreams.ColdRoomIn(g.now, source.ID) > 0 {
+	if !g.upstreams.Admits(g.now, source) || g.upstreams.ColdWait(g.now, source.ID) > 0 {
 		g.moveLater[source.ID] = true
 		return
 	}
@@ -224,10 +224,10 @@
 // room, a stream that can be resumed elsewhere is; another one waits if it may be served then.
 // None waits for an evacuated zone, which may be so for hours.
 func (g *Gateway) continueRun(r *request, run stoppedRun) {
-	roomIn := g.upstreams.ColdRoomIn(g.now, run.upstream.ID)
-	left := max(g.upstreams.PauseLeft(g.now, run.upstream), roomIn)
+	coldWait := g.upstreams.ColdWait(g.now, run.upstream.ID)
+	left := max(g.upstreams.PauseLeft(g.now, run.upstream), coldWait)
 	switch {
-	case g.upstreams.Admits(g.now, run.upstream) && roomIn == 0:
+	case g.upstreams.Admits(g.now, run.upstream) && coldWait == 0:
 		r.stopped = nil
 		g.dispatchTo(r, run.upstream, run.from)
 	case r.route.Retryable() || g.isEvacuated(run.upstream) || !g.now.Add(left).Before(r.deadline):
@@ -256,7 +256,7 @@
 	slices.SortFunc(stopped, byArrival)
 	for _, r := range stopped {
 		u := r.stopped.upstream
-		if g.isEvacuated(u) || g.upstreams.Admits(g.now, u) && g.upstreams.ColdRoomIn(g.now, u.ID) == 0 {
+		if g.isEvacuated(u) || g.upstreams.Admits(g.now, u) && g.upstreams.ColdWait(g.now, u.ID) == 0 {
 			g.continueRun(r, *r.stopped)
 		}
 	}
--- a/internal/core/gateway/queue.go
+++ b/internal/core/gateway/queue.go
@@ -70,7 +70,7 @@
 	}
 	ready, usable := g.upstreams.Usable(g.now, r.service, g.slots(r.service))
 	if len(usable) == 0 && !r.answerSent || g.isRefusedForCold(r) {
-		// Other nodes use the limits, or the slots of brittle upstreams.
+		// Other nodes have the shares: of limits, of brittle upstreams' slots, or of cold upstreams.
 		if !g.passOnToSharer(r, ready) {
 			g.refuse(r, ReasonOverload, g.retryAfterCold(r, minRetryAfter))
 		}
--- a/internal/core/gateway/quota_demand.go
+++ b/internal/core/gateway/quota_demand.go
@@ -50,7 +50,7 @@
 func (g *Gateway) quotaAdmission(q *teamQuota, rank int, cost, share float64) quotaState {
 	overdraft, debt := g.quotaOverdraft(q)
 	own := q.demandPerSecond(g.now)
-	peers := g.peersDemand(q.name, own, rank)
+	peers := g.sumPeersDemand(q.name, own, rank)
 	a := quotaState{own: own, Admission: quota.Admission{
 		Left: q.bucket.Available(g.now, share), Overdraft: overdraft * share, Debt: debt * share, Usual: q.usualCost(),
 		Unreported: peers.unreported(own, max(cost, q.usualCost()), g.demandPeriod()),
@@ -62,8 +62,8 @@
 	return a
 }
 
-// peersDemand is what the peers in contact report to be asked for by a team, in units a second.
-type peersDemand struct {
+// demandSums is what the peers in contact report to be asked for by a team, in units a second.
+type demandSums struct {
 	// fresh sums up the peers with fresh statuses, stale the others.
 	fresh, stale           quota.Demand
 	freshCount, staleCount int
@@ -73,23 +73,23 @@
 	staleAge               time.Duration
 }
 
-// peersDemand sums up the peers' demand. Part of it that they have not divided by rank is divided
-// as this node's own.
-func (g *Gateway) peersDemand(team string, own quota.Demand, rank int) *peersDemand {
-	var p peersDemand
+// sumPeersDemand sums up the peers' demand. What a peer has not divided by rank is divided as this
+// node's own.
+func (g *Gateway) sumPeersDemand(team string, own quota.Demand, rank int) *demandSums {
+	var p demandSums
 	for _, m := range g.sortedMembers() {
 		if g.contactWithin(m, quotaSilentIntervals) {
-			p.add(m.quotaDemand[team].byRank(own, rank), g.now.Sub(m.lastContact), g.freshStatus())
+			p.add(m.quotaDemand[team].byRank(own, rank), g.now.Sub(m.lastContact), g.maxFreshAge())
 		}
 	}
 	return &p
 }
 
-// freshStatus is the greatest age of a status that a node near a quota has sent early.
-func (g *Gateway) freshStatus() time.Duration { return g.interval()/lowQuotaDivisor + TickInterval }
+// maxFreshAge returns the greatest age of a status that a node near a quota has sent early.
+func (g *Gateway) maxFreshAge() time.Duration { return g.interval()/lowQuotaDivisor + TickInterval }
 
 // add adds the demand of a peer with a status of the given age.
-func (p *peersDemand) add(perSecond quota.Demand, age, fresh time.Duration) {
+func (p *demandSums) add(perSecond quota.Demand, age, fresh time.Duration) {
 	sum, units := &p.fresh, &p.freshUnits
 	if age > fresh {
 		sum, units = &p.stale, &p.staleUnits
@@ -115,7 +115,7 @@
 // unreported returns what the peers have probably been asked for since their latest statuses.
 // During a surge those with stale ones are assumed to be asked for as much as this node and the
 // others.
-func (p *peersDemand) unreported(own quota.Demand, usualCost float64, period time.Duration) quota.Demand {
+func (p *demandSums) unreported(own quota.Demand, usualCost float64, period time.Duration) quota.Demand {
 	units := p.freshUnits
 	surge := p.surge(own, usualCost, period)
 	mean := p.recentMean(own)
@@ -131,14 +131,14 @@
 
 // surge reports whether this node and the peers with fresh statuses are asked for more than the
 // others have reported.
-func (p *peersDemand) surge(own quota.Demand, usualCost float64, period time.Duration) bool {
+func (p *demandSums) surge(own quota.Demand, usualCost float64, period time.Duration) bool {
 	shown := p.fresh.Sum()*period.Seconds() + own.Sum()*demandDecay.Seconds()
 	recent := p.recentMean(own).Sum() * float64(p.staleCount)
 	return shown >= surgeRequests*usualCost && recent > surgeFactor*p.stale.Sum()
 }
 
 // recentMean returns the mean demand of this node and the peers with fresh statuses.
-func (p *peersDemand) recentMean(own quota.Demand) quota.Demand {
+func (p *demandSums) recentMean(own quota.Demand) quota.Demand {
 	mean := own
 	for i := range mean {
 		mean[i] = (p.fresh[i] + own[i]) / float64(p.freshCount+1)
@@ -221,28 +221,21 @@
 	return list
 }
 
-// deductPeerSpending subtracts from the quotas the units that the peer has
-// spent since its last status, and notes those that it was asked for. A new process counts
-// from zero.
+// deductPeerSpending subtracts from the quotas the units that the peer has spent since its last
+// status, takes back what was charged for it while it was silent, and notes what it is asked for.
+// A new process counts from zero.
 func (g *Gateway) deductPeerSpending(m *member, s peer.Status) {
-	before := make(map[string]peer.TeamQuotaSpent)
-	if s.Start == m.status.Start {
-		for _, spent := range m.status.QuotaSpent {
-			before[spent.Team] = spent
-		}
-	}
-	first := m.lastContact.IsZero()
-	share := g.quotaShare()
+	share, first := g.quotaShare(), m.lastContact.IsZero()
 	if s.Start != m.status.Start {
 		// The former process will not report what it was charged for.
 		m.quotaCharged = nil
 	}
 	g.refundSilence(m, share)
+	before := m.spendingOf(s.Start)
 	demand := make(map[string]peerDemand)
 	for _, spent := range s.QuotaSpent {
-		units := spent.Units - before[spent.Team].Units
-		asked := max(spent.Asked-before[spent.Team].Asked, units)
-		if !isFinite(units) || !isFinite(asked) {
+		units, asked, ok := spentSince(spent, before[spent.Team])
+		if !ok {
 			continue
 		}
 		if first {
@@ -257,22 +250,41 @@
 		}
 	}
 	m.quotaDemand = demand
-	m.demandKnown = s.Start == m.status.Start || g.outlivesThis(s)
+	m.demandKnown = s.Start == m.status.Start || g.startedLongBefore(s)
+}
+
+// spendingOf returns what the latest status of a process reports as spent, by team.
+func (m *member) spendingOf(start int64) map[string]peer.TeamQuotaSpent {
+	spending := make(map[string]peer.TeamQuotaSpent)
+	if start == m.status.Start {
+		for _, spent := range m.status.QuotaSpent {
+			spending[spent.Team] = spent
+		}
+	}
+	return spending
+}
+
+// spentSince returns the units that were spent and asked for between two reports, false if the
+// figures are not finite.
+func spentSince(latest, before peer.TeamQuotaSpent) (units, asked float64, ok bool) {
+	units = latest.Units - before.Units
+	asked = max(latest.Asked-before.Asked, units)
+	return units, asked, isFinite(units) && isFinite(asked)
 }
 
 // isFinite reports whether a peer's figure can be counted with.
 func isFinite(units float64) bool { return !math.IsNaN(units) && !math.IsInf(units, 0) }
 
-// outlivingBursts is the number of its parts of a burst that a process which has spent more has
-// certainly not just started.
-const outlivingBursts = 4
+// longRunBursts is the spending, in multiples of a node's part of the burst, beyond which a process
+// can't have just started.
+const longRunBursts = 4
 
-// outlivesThis reports whether a peer's process has spent so much that it must have started long
+// startedLongBefore reports whether a peer's process has spent so much that it must have started long
 // before this one. Then not all have restarted together, and it counts what this one spends.
-func (g *Gateway) outlivesThis(s peer.Status) bool {
+func (g *Gateway) startedLongBefore(s peer.Status) bool {
 	for _, spent := range s.QuotaSpent {
 		q := g.quotas[spent.Team]
-		if q != nil && spent.Units > outlivingBursts*q.bucket.Limit().Burst/float64(len(g.members)+1) {
+		if q != nil && spent.Units > longRunBursts*q.bucket.Limit().Burst/float64(len(g.members)+1) {
 			return true
 		}
 	}
@@ -287,7 +299,7 @@
 	return mean + weight*(max(asked, 0)/seconds-mean)
 }
 
-// demandPeriod is the time constant of the mean of peers' demand.
+// demandPeriod returns the time constant of the mean of peers' demand.
 func (g *Gateway) demandPeriod() time.Duration { return min(g.interval()/2, maxDemandPeriod) }
 
 // firstSpending returns the number of units of a peer's first report that count here. What it
--- a/internal/core/gateway/quota_silence.go
+++ b/internal/core/gateway/quota_silence.go
@@ -22,6 +22,7 @@
 	}
 }
 
+// chargeSilentPeer charges the quotas once for a peer that has fallen silent.
 func (g *Gateway) chargeSilentPeer(m *member) {
 	share := g.quotaShare()
 	if m.quotaCharged != nil {
@@ -47,9 +48,9 @@
 // has reported, or during a surge as much as this node and the others.
 func (g *Gateway) silentDemand(q *teamQuota, m *member) float64 {
 	own := q.demandPerSecond(g.now)
-	p := g.peersDemand(q.name, own, 0)
+	p := g.sumPeersDemand(q.name, own, 0)
 	reported := m.quotaDemand[q.name].perSecond
-	p.add(reported, g.now.Sub(m.lastContact), g.freshStatus())
+	p.add(reported, g.now.Sub(m.lastContact), g.maxFreshAge())
 	if p.surge(own, q.usualCost(), g.demandPeriod()) {
 		return max(reported.Sum(), p.recentMean(own).Sum())
 	}
--- a/internal/core/gateway/roster.go
+++ b/internal/core/gateway/roster.go
@@ -7,19 +7,19 @@
 )
 
 const (
-	// rosterMaxAge and rosterRetention are in intervals of the reads of the list of nodes. A
-	// node relies on a list for rosterMaxAge; a node that is new to the list, or gone from it,
-	// changes who has a share of what for rosterRetention only in the cautious direction. By
+	// rosterMaxIntervals and rosterRetentionIntervals are in intervals of the reads of the list of nodes. A
+	// node relies on a list for rosterMaxIntervals; a node that is new to the list, or gone from it,
+	// changes who has a share of what for rosterRetentionIntervals only in the cautious direction. By
 	// then every node that relies on a list has read one with the change.
-	rosterMaxAge    = 2
-	rosterRetention = 3
+	rosterMaxIntervals       = 2
+	rosterRetentionIntervals = 3
 	// sharersRefresh is the time after which the nodes with a share of an upstream are
 	// determined again.
 	sharersRefresh = time.Second
 )
 
 // roster is what a node knows of the store's list of nodes. Unlike the nodes in contact, it is the
-// same at all nodes but for changes that are younger than rosterRetention, also among nodes that
+// same at all nodes but for changes that are younger than rosterRetentionIntervals, also among nodes that
 // can't exchange messages.
 type roster struct {
 	// listedAt is when each node was last listed, as of the read at readAt.
@@ -52,7 +52,7 @@
 	r := &g.roster
 	first, wasListed := r.readAt.IsZero(), r.selfListed
 	r.readAt, r.selfListed = g.now, false
-	r.forgetVerdict()
+	r.invalidate()
 	for _, n := range e.Nodes {
 		r.listedAt[n.Node] = g.now
 		r.selfListed = r.selfListed || n.Node == g.cfg.Node
@@ -61,7 +61,7 @@
 		r.selfNewAt = g.now
 	}
 	for node, at := range r.listedAt {
-		if g.now.Sub(at) > g.rosterTime(rosterRetention) {
+		if g.now.Sub(at) > g.rosterTime(rosterRetentionIntervals) {
 			delete(r.listedAt, node)
 		}
 	}
@@ -99,19 +99,20 @@
 	return r.mayUse
 }
 
-// forgetVerdict lets the next question be decided anew: the list or the nodes in contact have changed.
-func (r *roster) forgetVerdict() { r.mayUseAt = time.Time{} }
+// invalidate drops the cached result of isRosterKnown: the list or the nodes in contact have changed.
+func (r *roster) invalidate() { r.mayUseAt = time.Time{} }
 
+// isRosterKnown decides what mayUseRosterShares reports.
 func (g *Gateway) isRosterKnown() bool {
 	r := &g.roster
-	isNew := !r.selfNewAt.IsZero() && g.now.Sub(r.selfNewAt) < g.rosterTime(rosterRetention)
+	isNew := !r.selfNewAt.IsZero() && g.now.Sub(r.selfNewAt) < g.rosterTime(rosterRetentionIntervals)
 	if !r.selfListed || isNew {
 		return false
 	}
-	return g.now.Sub(r.readAt) <= g.rosterTime(rosterMaxAge) || 2*g.contactCount(silentIntervals) > len(g.rosterNodes())
+	return g.now.Sub(r.readAt) <= g.rosterTime(rosterMaxIntervals) || 2*g.contactCount(silentIntervals) > len(g.rosterNodes())
 }
 
-// sharersOf returns the nodes with a share of an upstream, determined anew once in a while.
+// sharersOf returns the nodes with a share of an upstream, determined again after sharersRefresh.
 func (r *roster) sharersOf(now time.Time, upstream string, determine func() rosterSharers) rosterSharers {
 	s, known := r.sharers[upstream]
 	if !known || now.Sub(s.at) >= sharersRefresh {
--- a/internal/core/gateway/state.go
+++ b/internal/core/gateway/state.go
@@ -58,7 +58,7 @@
 	Paused int `json:"paused"`
 	// Cold is the number of upstreams that tolerate few requests at the moment.
 	Cold int `json:"cold"`
-	// Reporting is the number of upstreams that have told this node lately how long work takes
+	// Reporting is the number of upstreams that have recently reported to this node how long work takes
 	// there, Slow that of those where it takes longer than usual.
 	Reporting int `json:"reporting"`
 	Slow      int `json:"slow"`
--- a/internal/core/gateway/status.go
+++ b/internal/core/gateway/status.go
@@ -155,7 +155,7 @@
 		m.storeRegainedAt = g.now
 	}
 	if !g.inContact(m) {
-		g.roster.forgetVerdict()
+		g.roster.invalidate()
 	}
 	m.status = s
 	m.lastContact = g.now
--- a/internal/core/leader/lease.go
+++ b/internal/core/leader/lease.go
@@ -103,9 +103,9 @@
 	resigned, resignedHere int64
 	// barredUntil is when this process may acquire the lease again after it has resigned.
 	barredUntil time.Time
-	// seen is the latest revision that the holder has reported, since seenAt.
-	seen   store.Revision
-	seenAt time.Time
+	// reportedRevision is the latest revision that the holder has reported, since reportedAt.
+	reportedRevision store.Revision
+	reportedAt       time.Time
 
 	// held reports whether this process owns the latest known lease and is not
 	// releasing it. validUntil is the end of the term that began with the latest
@@ -298,6 +298,7 @@
 	switch result {
 	case ResultOK:
 		e.unconfirmed = false
+		// The write may follow at once; needsConfirmation counts from this read.
 		e.retryAt = now
 		e.setLatest(now, stored)
 	case ResultMissing:
@@ -314,8 +315,8 @@
 	e.mayReclaim = e.mayReclaim && stored.Lease.Generation < e.generation
 	if !e.haveLatest || stored.Revision != e.latest.Revision {
 		e.firstReadAt = now
-		if !e.seen.IsZero() && stored.Revision == e.seen {
-			e.firstReadAt = e.seenAt
+		if !e.reportedRevision.IsZero() && stored.Revision == e.reportedRevision {
+			e.firstReadAt = e.reportedAt
 		}
 	}
 	e.latest, e.haveLatest = stored, true
--- a/internal/core/leader/resign.go
+++ b/internal/core/leader/resign.go
@@ -38,7 +38,7 @@
 // NoteRevision notes the revision of the lease that its holder reports. The holder wrote it
 // before now, so a takeover need not wait for a whole term after reading the same revision.
 func (e *Elector) NoteRevision(now time.Time, revision store.Revision) {
-	if e.seen.Before(revision) {
-		e.seen, e.seenAt = revision, now
+	if e.reportedRevision.Before(revision) {
+		e.reportedRevision, e.reportedAt = revision, now
 	}
 }
--- a/internal/core/placement/cold.go
+++ b/internal/core/placement/cold.go
@@ -192,8 +192,8 @@
 	c.bucket.refill(now, func() float64 { return s.shares.Cold(m.ID, m.Service) })
 }
 
-// hasColdRoom reports whether a cold upstream takes a request of this node; any other one does.
-func (s *Set) hasColdRoom(now time.Time, m *member) bool {
+// admitsWhileCold reports whether a cold upstream takes a request of this node; any other one does.
+func (s *Set) admitsWhileCold(now time.Time, m *member) bool {
 	if !s.isCold(now, m) {
 		return true
 	}
@@ -220,10 +220,10 @@
 	return m.cold.bucket.share
 }
 
-// coldRoomIn returns the time until a cold upstream takes a request of this node: until its
+// coldWait returns the time until a cold upstream takes a request of this node: until its
 // bucket has one, or until it is no longer cold.
-func (s *Set) coldRoomIn(now time.Time, m *member) time.Duration {
-	if s.hasColdRoom(now, m) {
+func (s *Set) coldWait(now time.Time, m *member) time.Duration {
+	if s.admitsWhileCold(now, m) {
 		return 0
 	}
 	in := m.cold.until.Sub(now)
@@ -235,24 +235,24 @@
 	return max(in, time.Millisecond)
 }
 
-// ColdRoomIn returns the time until an upstream takes a request of this node because it is cold,
+// ColdWait returns the time until an upstream takes a request of this node because it is cold,
 // 0 if it takes one now.
-func (s *Set) ColdRoomIn(now time.Time, id string) time.Duration {
+func (s *Set) ColdWait(now time.Time, id string) time.Duration {
 	if m := s.members[id]; m != nil {
-		return s.coldRoomIn(now, m)
+		return s.coldWait(now, m)
 	}
 	return 0
 }
 
-// ColdServiceRoomIn returns the time until the first of a service's upstreams takes a request of
+// ColdServiceWait returns the time until the first of a service's upstreams takes a request of
 // this node, 0 if one of them is not cold or has room, or none is ready.
-func (s *Set) ColdServiceRoomIn(now time.Time, service string) time.Duration {
+func (s *Set) ColdServiceWait(now time.Time, service string) time.Duration {
 	var first time.Duration
 	for _, m := range s.sorted {
 		if m.Service != service || m.State != StateReady || !s.Admits(now, m.Upstream) {
 			continue
 		}
-		in := s.coldRoomIn(now, m)
+		in := s.coldWait(now, m)
 		if in == 0 {
 			return 0
 		}
--- a/internal/core/placement/contention.go
+++ b/internal/core/placement/contention.go
@@ -6,10 +6,9 @@
 	"monsoonlanding/internal/core/average"
 )
 
-// The load that this file answers: dozens of nodes send requests to the same engines, and each
-// learns a good part of a second later what the others have placed. When engines are nearly full, all
-// nodes see the same one with a free slot and send it what they have waiting, so that it gets many
-// times what it has room for while the next one idles.
+// Dozens of nodes send requests to the same engines, and each learns a good part of a second later
+// what the others have placed. When engines are nearly full, all nodes would send what they have
+// waiting to the one that reports a free slot. The functions here bound that.
 
 const (
 	// arrivalDecay is the time constant of the rate of this node's requests.
@@ -41,8 +40,8 @@
 	return a
 }
 
-// SetNewsAge sets the mean age of what this node knows of its peers' load.
-func (s *Set) SetNewsAge(age time.Duration) { s.newsAge = age }
+// SetPeerLoadAge sets the mean age of the loads that peers have reported.
+func (s *Set) SetPeerLoadAge(age time.Duration) { s.peerLoadAge = age }
 
 // contended reports whether there are more nodes than slots at an engine. With fewer nodes each
 // places a good part of an engine's requests itself, and knows of them at once.
@@ -57,6 +56,7 @@
 
 // recordHeld records the time for which an ended request has occupied a slot of its engine.
 func (s *Set) recordHeld(now time.Time, service string, r *activeRequest) {
+	// Only requests to engines have memory.
 	if r.Memory > 0 {
 		s.arrivalsOf(service).held.Observe(now.Sub(r.placedAt))
 	}
@@ -72,7 +72,7 @@
 	}
 	a := s.arrivalsOf(service)
 	perEngine := a.rate.PerSecond(now) * float64(peers) / float64(engines)
-	unreported := perEngine * s.newsAge.Seconds()
+	unreported := perEngine * s.peerLoadAge.Seconds()
 	return scale(a.prefill.Value()+s.slotTime(service, slots), unreported)
 }
 
--- a/internal/core/placement/contention_test.go
+++ b/internal/core/placement/contention_test.go
@@ -28,7 +28,7 @@
 			loads[id] = UpstreamLoad{Running: running, Memory: 1000 * running}
 		}
 		// A status to each peer every 250 ms, or every 10 ms a peer if that is longer.
-		s.SetNewsAge(max(250*time.Millisecond, time.Duration(nodes)*10*time.Millisecond)/2 + 100*time.Millisecond)
+		s.SetPeerLoadAge(max(250*time.Millisecond, time.Duration(nodes)*10*time.Millisecond)/2 + 100*time.Millisecond)
 		for n := range int(perSecond * arrivalDecay.Seconds()) {
 			p := prompt("earlier", 500, 500+n)
 			id, number := fmt.Sprint("u", n%engines), uint64(n)
@@ -91,7 +91,7 @@
 }
 
 // TestNodeWithoutPeersKnowsTheLoad: a node that places all requests itself knows which slots are
-// free, so nothing is random and nothing waits at the engines.
+// free, so costs get no larger random addition and nothing waits at the engines.
 func TestNodeWithoutPeersKnowsTheLoad(t *testing.T) {
 	c := qt.New(t)
 	s := contendedNodes(1, 4, 0, 20)[0]
--- a/internal/core/placement/doc.go
+++ b/internal/core/placement/doc.go
@@ -41,7 +41,7 @@
 //
 // An upstream that has just started, or has lost its caches, tolerates few requests a second until
 // its cold time ends. Meanwhile a node sends it no more than its share, from a bucket that starts
-// empty, and prefers the others by Query.ColdCost. Whoever sends without Pick asks ColdRoomIn.
+// empty, and prefers the others by Query.ColdCost. Whoever sends without Pick asks ColdWait.
 //
 // # Speed
 //
--- a/internal/core/placement/learned.go
+++ b/internal/core/placement/learned.go
@@ -272,7 +272,7 @@
 // statedSlowdown returns how long work takes on an upstream's machine as it has stated last, 0 if
 // that is too old.
 func (m *member) statedSlowdown(now time.Time) float64 {
-	if now.Sub(m.reportedAt) >= reportMaxAge {
+	if now.Sub(m.reportedAt) >= slowdownMaxAge {
 		return 0
 	}
 	return m.report.Slowdown
--- a/internal/core/placement/limit.go
+++ b/internal/core/placement/limit.go
@@ -105,7 +105,7 @@
 // mayReceive reports whether the upstream takes requests from this node now, and its limit
 // leaves room for one.
 func (s *Set) mayReceive(now time.Time, m *member) bool {
-	if !s.Admits(now, m.Upstream) || s.onTrial(m) || !s.hasColdRoom(now, m) {
+	if !s.Admits(now, m.Upstream) || s.onTrial(m) || !s.admitsWhileCold(now, m) {
 		return false
 	}
 	if !m.limiter.limit.Named {
--- a/internal/core/placement/plain.go
+++ b/internal/core/placement/plain.go
@@ -10,8 +10,8 @@
 	return wait + time.Duration(others)*plainServiceTime/time.Duration(max(slots, 1))
 }
 
-// maxJitter returns the bound of the random addition to the costs of engines: what this node can't
-// know of their waits.
+// maxJitter returns the bound of the random addition to costs: at an engine twice the wait that peers'
+// unreported requests are expected to cause, elsewhere minJitter.
 func (s *Set) maxJitter(now time.Time, q Query) time.Duration {
 	if q.Slots == 0 {
 		return minJitter
@@ -19,11 +19,10 @@
 	return max(minJitter, 2*s.uncertainty(now, q.Service, q.Slots))
 }
 
-// jitter returns a random addition to the cost of an upstream with a number of slots, up to limit or,
-// at a plain one, more. It keeps the nodes from all choosing the same one of equal upstreams. Plain
-// requests end long before their node has told its peers of them: nodes that share fewer slots than
-// they are would all follow a small difference in an old picture. The more they are, the more of the
-// range of waits is random.
+// jitter returns a random addition to the cost of an upstream, up to limit, so that nodes don't all
+// choose the same one of equal upstreams. Plain requests end before their node has reported them.
+// So at a plain upstream with fewer slots than there are nodes the bound grows, with the number of
+// nodes, towards the longest wait that can occur there.
 func (s *Set) jitter(q Query, slots int, limit time.Duration) time.Duration {
 	if nodes := len(s.usedByPeers) + 1; q.Slots == 0 && slots > 0 && slots < nodes {
 		longest := plainWait(0, plainCapacity(slots), slots)
--- a/internal/core/placement/set.go
+++ b/internal/core/placement/set.go
@@ -80,9 +80,9 @@
 	estimators map[string]*speedEstimator
 	// arrivals describes the requests that this node sends to each service's engines.
 	arrivals map[string]*arrivals
-	// newsAge is the mean age of what is known of the peers' load.
-	newsAge time.Duration
-	learner learner
+	// peerLoadAge is the mean age of what is known of the peers' load.
+	peerLoadAge time.Duration
+	learner     learner
 }
 
 // activeRequest is a request that this node has running at an upstream.
--- a/internal/core/quota/admission.go
+++ b/internal/core/quota/admission.go
@@ -1,6 +1,6 @@
 package quota
 
-// RankCount is the number of ranks of urgency that are told apart.
+// RankCount is the number of ranks of urgency.
 const RankCount = 10
 
 // Demand is what requests ask of a quota, in units by rank of urgency; rank 0 is the most urgent.
@@ -35,9 +35,9 @@
 type Admission struct {
 	// Left is the number of units left, without what peers have not reported yet.
 	Left float64
-	// Overdraft is the part of the tolerance that may be spent in place of what peers may have
-	// spent unreported. Debt is the part by which a single request may exceed that, and by which
-	// less urgent requests, admitted before peers reported theirs, don't count for more urgent ones.
+	// Overdraft is the part of the tolerance that may be spent although peers may have spent it
+	// unreported. Debt is a further part: a single request may exceed Left and Overdraft by it, and
+	// it covers what less urgent requests have probably spent, so that this refuses no more urgent ones.
 	Overdraft, Debt float64
 	// Usual is the mean cost of the team's requests.
 	Usual float64
@@ -51,7 +51,8 @@
 // left, the debt included: refusing it would save next to nothing for others.
 const minorFraction = 0.1
 
-// Need returns what requests of a rank need until the others' spending is known.
+// Need returns the units to keep for a rank: what peers have probably been asked for in it since
+// their reports, or what is expected, whichever is more.
 func (a Admission) Need(rank int) float64 { return max(a.Unreported[rank], a.Expected[rank]) }
 
 // Reserve returns the number of units reserved for requests that are more urgent than a rank.
--- a/internal/run/settings/gateway.go
+++ b/internal/run/settings/gateway.go
@@ -69,8 +69,8 @@
 	// Evacuation is the time within which nothing more is sent to an availability zone that
 	// the operator evacuates, 0 if the deployment has no evacuations.
 	Evacuation Duration `toml:"evacuation"`
-	// ColdOver is the factor by which all nodes together may exceed the requests a second that a
-	// cold upstream tolerates, ColdSlack the number of requests beyond that.
+	// A cold upstream may get ColdOver times the requests a second that it tolerates, plus
+	// ColdSlack requests, from all nodes together.
 	ColdOver  float64 `toml:"cold_over"`
 	ColdSlack float64 `toml:"cold_slack"`
 }
