gateway: test that a restarted peer's charge stays

Cause: a review showed that what was charged for a silent peer was given back to its VM's next process; the mend had no test. Change: the test only. It fails with the mend taken out.

--- a/internal/core/gateway/quota_burst_test.go
+++ b/internal/core/gateway/quota_burst_test.go
@@ -33,3 +33,26 @@
 		b.Assert(float64(admitted) <= bound, qt.IsTrue, qt.Commentf("burst %v: %d admitted, %v allowed", burst, admitted, bound))
 	}
 }
+
+// TestChargeOfARestartedPeerStays: a peer that was killed never reports what it spent last, so what
+// was charged for it while it was silent is not given back when its VM's next process reports.
+func TestChargeOfARestartedPeerStays(t *testing.T) {
+	for _, test := range []struct {
+		start  int64
+		refund float64
+	}{{1, 5000}, {2, 0}} {
+		b := newBench(t, "a")
+		b.ready(up("d1", "desk"))
+		s := status("b")
+		s.Start = 1
+		b.receive(s)
+		b.arrive("/book/1")
+		q := b.g.quotas["blue"]
+		q.bucket.Spend(b.now, 10_000, 1)
+		b.g.members["b"].quotaCharged = map[string]float64{"blue": 5000}
+		before := q.bucket.Level()
+		s.Start, s.Seq = test.start, 0
+		b.receive(s)
+		b.Assert(q.bucket.Level()-before, qt.Equals, test.refund, qt.Commentf("process %d", test.start))
+	}
+}
