--- /dev/null
+++ b/internal/core/gateway/upstreams.go
@@ -0,0 +1,184 @@
+package gateway
+
+import (
+	"time"
+
+	"monsoonlanding/internal/core/peer"
+	"monsoonlanding/internal/core/placement"
+	"monsoonlanding/internal/core/store"
+)
+
+// relistGrace is the duration after the store's return in which the entries of
+// running upstreams may still be missing from its list.
+const relistGrace = 2200 * time.Millisecond
+
+// upstreamsListed replaces the known upstreams by the complete list.
+func (g *Gateway) upstreamsListed(e UpstreamsListed) {
+	if g.isOvertaken(e.Revision) {
+		return
+	}
+	g.upstreamsRead = true
+	present := make(map[string]bool, len(e.List))
+	delta := g.newDelta(e.Revision)
+	for _, u := range e.List {
+		present[u.ID] = true
+		g.putUpstream(u, e.Revision, &delta)
+	}
+	for _, u := range g.upstreams.All() {
+		if !present[u.ID] {
+			g.removeUpstream(u.ID, &delta)
+		}
+	}
+	g.sendDelta(delta)
+	g.logColdChanges("store")
+	g.dispatchQueues()
+}
+
+// upstreamsChanged applies the changes of one read. They go to the peers in one
+// message, since they share a revision.
+func (g *Gateway) upstreamsChanged(e UpstreamsChanged) {
+	if g.isOvertaken(e.Revision) {
+		return
+	}
+	delta := g.newDelta(e.Revision)
+	for _, u := range e.Put {
+		g.putUpstream(u, e.Revision, &delta)
+	}
+	for _, id := range e.Removed {
+		g.removeUpstream(id, &delta)
+	}
+	g.sendDelta(delta)
+	g.logColdChanges("store")
+	g.dispatchQueues()
+}
+
+// isOvertaken reports whether a read of the upstreams is older than what is known of them:
+// a peer may have sent a later change while the read was under way.
+func (g *Gateway) isOvertaken(read store.Revision) bool {
+	overtaken := read.Generation < g.storeGeneration || g.upstreamsRead && read.Before(g.knownRevision)
+	if overtaken {
+		g.log("upstream", "read of upstreams was overtaken", "revision", read.Number, "own", g.knownRevision.Number)
+	}
+	return overtaken
+}
+
+// newDelta returns an empty delta for a change at a revision of the store. The first one of
+// a generation follows none: peers that don't know its revision list the upstreams.
+func (g *Gateway) newDelta(revision store.Revision) peer.UpstreamsDelta {
+	previous := revision.Number
+	if g.changedRevision.Generation == revision.Generation {
+		previous = g.changedRevision.Number
+	}
+	return peer.UpstreamsDelta{Revision: revision.Number, Previous: previous, Generation: revision.Generation}
+}
+
+// sendDelta sends changes read from the store to the peers, few of which watch
+// the store.
+func (g *Gateway) sendDelta(delta peer.UpstreamsDelta) {
+	g.knownRevision = store.Latest(g.knownRevision, delta.At())
+	if len(delta.Put) == 0 && len(delta.Removed) == 0 {
+		return
+	}
+	g.changedRevision = store.Latest(g.changedRevision, delta.At())
+	for _, m := range g.sortedMembers() {
+		if g.inContact(m) && m.status.UpstreamsAt().Before(delta.At()) {
+			g.emit(Send{Node: m.node, Address: m.address, Message: delta})
+		}
+	}
+}
+
+// deltaReceived applies changes that a peer has read from the store. If this
+// node has missed an earlier change, the complete list is read instead.
+func (g *Gateway) deltaReceived(from string, d peer.UpstreamsDelta) {
+	g.storeGenerationRead(d.Generation)
+	if d.At().Compare(g.knownRevision) <= 0 || !g.upstreamsRead {
+		return
+	}
+	if d.Generation > g.knownRevision.Generation || d.Previous > g.knownRevision.Number {
+		g.log("upstream", "listing upstreams, an earlier change was missed", "peer", from, "revision", d.Revision,
+			"previous", d.Previous, "own", g.knownRevision.Number)
+		g.emit(ListFeed{Feed: FeedUpstreams})
+		return
+	}
+	for _, u := range d.Put {
+		g.putUpstream(u, d.At(), &peer.UpstreamsDelta{})
+	}
+	for _, id := range d.Removed {
+		g.removeUpstream(id, &peer.UpstreamsDelta{})
+	}
+	g.knownRevision = d.At()
+	g.changedRevision = store.Latest(g.changedRevision, d.At())
+	g.logColdChanges(from)
+	g.dispatchQueues()
+}
+
+// putUpstream adds or replaces an upstream and records a change in the delta.
+func (g *Gateway) putUpstream(u placement.Upstream, revision store.Revision, delta *peer.UpstreamsDelta) {
+	if g.isRestoredEntry(u) {
+		g.log("upstream", "entry is older than its upstream", "upstream", u.ID, "revision", revision.Number)
+		return
+	}
+	returned := g.missing[u.ID]
+	delete(g.missing, u.ID)
+	delete(g.departed, processID(u))
+	old, known := g.upstreams.Get(u.ID)
+	u = g.asLeaving(u)
+	if known && old.State == placement.StateDraining && old.StartedAt.Equal(u.StartedAt) {
+		// A process that drains is never ready again.
+		if u.State == placement.StateReady {
+			// Peers that have started since may take the restored entry for true.
+			g.leaves[processID(u)] = g.now
+		}
+		u.State, u.StopsAt = old.State, old.StopsAt
+	}
+	changed := !known || returned || old.State != u.State || !old.StartedAt.Equal(u.StartedAt) || old.Address != u.Address
+	if changed {
+		g.log("upstream", "upstream listed", "upstream", u.ID, "service", u.Service, "zone", u.Zone,
+			"state", string(u.State), "revision", revision.Number, "reclaimable", u.Reclaimable, "version", u.Version)
+	}
+	g.upstreams.Put(u)
+	if g.recordEntryCold(u, old) || changed {
+		delta.Put = append(delta.Put, u)
+	}
+	g.trackDraining(u)
+	g.moveRuns(u)
+}
+
+// removeUpstream removes an upstream and records it in the delta. While the
+// store is lost or has just come back, entries of running upstreams may be
+// missing temporarily, so the upstream is only marked as missing.
+func (g *Gateway) removeUpstream(id string, delta *peer.UpstreamsDelta) {
+	if _, known := g.upstreams.Get(id); !known {
+		return
+	}
+	if g.storeDown || g.now.Sub(g.storeRegainedAt) < relistGrace && !g.storeRegainedAt.IsZero() {
+		g.missing[id] = true
+		g.upstreams.MarkUnlisted(id)
+		return
+	}
+	delta.Removed = append(delta.Removed, id)
+	g.deleteUpstream(id)
+}
+
+// deleteUpstream deletes all state of an upstream.
+func (g *Gateway) deleteUpstream(id string) {
+	delete(g.missing, id)
+	delete(g.drainingSince, id)
+	delete(g.roster.sharers, id)
+	if u, known := g.upstreams.Get(id); known {
+		g.departed[processID(u)] = g.now
+	}
+	g.upstreams.Remove(id)
+	g.log("upstream", "upstream gone", "upstream", id)
+}
+
+// removeMissing deletes the upstreams whose entries are still missing after
+// relistGrace.
+func (g *Gateway) removeMissing() {
+	if g.storeDown || g.now.Sub(g.storeRegainedAt) < relistGrace {
+		return
+	}
+	for id := range g.missing {
+		g.deleteUpstream(id)
+	}
+}
