gateway: log from whom news of upstreams comes, and how old the list is

Lines of upstreams have their source, an entry that goes missing and a change that is not applied have a line and a counter, and a dispatched line says whether the entry is missing and how old the list is. No decision changes.

--- a/internal/core/gateway/dispatch.go
+++ b/internal/core/gateway/dispatch.go
@@ -51,6 +51,9 @@
 	if g.upstreams.ColdLeft(g.now, u.ID) > 0 {
 		g.count(CountCold, u.Service)
 	}
+	if g.missing[u.ID] {
+		g.count(CountMissing, u.Service)
+	}
 	g.upstreams.RecordStart(g.now, u.ID, r.conn, prompt)
 	g.upstreams.RecordGoals(u.ID, r.conn, r.route.Name, r.route.LatencyGoal, r.route.MaxPause)
 	if from != (KVCache{}) {
@@ -71,7 +74,8 @@
 	})
 	g.logRequest(r, "place", "dispatched", "upstream", u.ID, "attempt", r.attempt, "moved", from != (KVCache{}),
 		"running", load.Running, "prefill", load.Prefill, "pause_ms", pauseLeft.Milliseconds(), "input", r.req.Prompt.InputTokens,
-		"waited_ms", g.now.Sub(r.arrived).Milliseconds(), "config", g.table.Version())
+		"waited_ms", g.now.Sub(r.arrived).Milliseconds(), "missing", g.missing[u.ID],
+		"list_age_ms", g.now.Sub(g.upstreamsCurrentAt).Milliseconds(), "config", g.table.Version())
 }
 
 // maxIdleConns returns this node's part of the connections that an upstream accepts
--- a/internal/core/gateway/effect.go
+++ b/internal/core/gateway/effect.go
@@ -192,8 +192,27 @@
 	CountQuota Counter = "gateway_quota_refusals"
 	// CountCold counts the requests to cold upstreams by service.
 	CountCold Counter = "gateway_cold_requests"
+	// CountMissing counts the requests to upstreams whose entries are missing from the store's
+	// list after an outage, by service.
+	CountMissing Counter = "gateway_missing_requests"
+	// CountChange counts changes of upstreams that were learned: what peers sent, by what became
+	// of it, and entries that vanished after an outage.
+	CountChange Counter = "gateway_upstream_changes"
 )
 
+// Labels of CountChange.
+const (
+	// changeApplied: a peer's change was applied, changeSkipped: it was not, since an earlier one
+	// was missed.
+	changeApplied = "applied"
+	changeSkipped = "skipped"
+	// changeMissing: an entry is missing and its upstream may return.
+	changeMissing = "missing"
+)
+
+// ChangeLabels lists the labels of CountChange.
+func ChangeLabels() []string { return []string{changeApplied, changeSkipped, changeMissing} }
+
 // ExtraSkipped is the only label of CountExtra.
 const ExtraSkipped = "skipped"
 
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -88,6 +88,8 @@
 	upstreams  *placement.Set
 	// upstreamsRead is set once the list of upstreams has been read.
 	upstreamsRead bool
+	// upstreamsCurrentAt is when the list was last known to be current, by the store or by peers.
+	upstreamsCurrentAt time.Time
 	// rolloutsRead is set once the rollouts have been read.
 	rolloutsRead bool
 	// knownRevision is the revision of the store up to which the upstreams are
--- a/internal/core/gateway/restored.go
+++ b/internal/core/gateway/restored.go
@@ -91,7 +91,7 @@
 
 // departuresReported processes the departures that a peer reports because the store has been
 // restored. This node may have started after that.
-func (g *Gateway) departuresReported(processes []uint64) {
+func (g *Gateway) departuresReported(from string, processes []uint64) {
 	if len(processes) > 0 {
 		g.holdRestoredEntries()
 	}
@@ -102,7 +102,7 @@
 		g.departed[process] = g.now
 		for _, u := range g.upstreams.All() {
 			if processID(u) == process {
-				g.deleteUpstream(u.ID)
+				g.deleteUpstream(u.ID, from)
 			}
 		}
 	}
--- a/internal/core/gateway/status.go
+++ b/internal/core/gateway/status.go
@@ -160,6 +160,7 @@
 	m.status = s
 	m.lastContact = g.now
 	m.unreachable, m.reportedUnreachable = false, false
+	g.confirmUpstreams(s)
 	if s.Ready != wasReady {
 		g.log("member", "node readiness changed", "peer", s.Node, "ready", s.Ready)
 	}
@@ -168,7 +169,7 @@
 	g.upstreams.MergeBrittle(g.now, s.Brittle)
 	g.upstreams.MergeSamples(g.now, s.Node, s.Start, s.Samples)
 	g.mergeCold(s)
-	g.departuresReported(s.Departed)
+	g.departuresReported(s.Node, s.Departed)
 	for _, process := range s.Leaving {
 		g.leaveAnnounced(process, s.Node)
 	}
--- a/internal/core/gateway/upstreams.go
+++ b/internal/core/gateway/upstreams.go
@@ -12,21 +12,29 @@
 // running upstreams may still be missing from its list.
 const relistGrace = 2200 * time.Millisecond
 
+// Sources of what is known of upstreams, for logs, beside the names of peers.
+const (
+	sourceStore = "store"
+	// sourceOutage: the entry was still missing some time after an outage of the store.
+	sourceOutage = "outage"
+)
+
 // upstreamsListed replaces the known upstreams by the complete list.
 func (g *Gateway) upstreamsListed(e UpstreamsListed) {
 	if g.isOvertaken(e.Revision) {
 		return
 	}
 	g.upstreamsRead = true
+	g.upstreamsCurrentAt = g.now
 	present := make(map[string]bool, len(e.List))
 	delta := g.newDelta(e.Revision)
 	for _, u := range e.List {
 		present[u.ID] = true
-		g.putUpstream(u, e.Revision, &delta)
+		g.putUpstream(u, sourceStore, e.Revision, &delta)
 	}
 	for _, u := range g.upstreams.All() {
 		if !present[u.ID] {
-			g.removeUpstream(u.ID, &delta)
+			g.removeUpstream(u.ID, sourceStore, &delta)
 		}
 	}
 	g.sendDelta(delta)
@@ -40,12 +48,13 @@
 	if g.isOvertaken(e.Revision) {
 		return
 	}
+	g.upstreamsCurrentAt = g.now
 	delta := g.newDelta(e.Revision)
 	for _, u := range e.Put {
-		g.putUpstream(u, e.Revision, &delta)
+		g.putUpstream(u, sourceStore, e.Revision, &delta)
 	}
 	for _, id := range e.Removed {
-		g.removeUpstream(id, &delta)
+		g.removeUpstream(id, sourceStore, &delta)
 	}
 	g.sendDelta(delta)
 	g.logColdChanges("store")
@@ -95,25 +104,36 @@
 		return
 	}
 	if d.Generation > g.knownRevision.Generation || d.Previous > g.knownRevision.Number {
+		g.count(CountChange, changeSkipped)
 		g.log("upstream", "listing upstreams, an earlier change was missed", "peer", from, "revision", d.Revision,
-			"previous", d.Previous, "own", g.knownRevision.Number)
+			"previous", d.Previous, "own", g.knownRevision.Number, "put", len(d.Put), "removed", d.Removed, "store_down", g.storeDown)
 		g.emit(ListFeed{Feed: FeedUpstreams})
 		return
 	}
 	for _, u := range d.Put {
-		g.putUpstream(u, d.At(), &peer.UpstreamsDelta{})
+		g.putUpstream(u, from, d.At(), &peer.UpstreamsDelta{})
 	}
 	for _, id := range d.Removed {
-		g.removeUpstream(id, &peer.UpstreamsDelta{})
+		g.removeUpstream(id, from, &peer.UpstreamsDelta{})
 	}
+	g.count(CountChange, changeApplied)
+	g.upstreamsCurrentAt = g.now
 	g.knownRevision = d.At()
 	g.changedRevision = store.Latest(g.changedRevision, d.At())
 	g.logColdChanges(from)
 	g.dispatchQueues()
 }
 
+// confirmUpstreams notes that the list of upstreams is current if a peer that reaches the store
+// knows no later change.
+func (g *Gateway) confirmUpstreams(s peer.Status) {
+	if !s.StoreUnavailable && s.UpstreamsAt().Compare(g.knownRevision) <= 0 {
+		g.upstreamsCurrentAt = g.now
+	}
+}
+
 // putUpstream adds or replaces an upstream and records a change in the delta.
-func (g *Gateway) putUpstream(u placement.Upstream, revision store.Revision, delta *peer.UpstreamsDelta) {
+func (g *Gateway) putUpstream(u placement.Upstream, from string, revision store.Revision, delta *peer.UpstreamsDelta) {
 	if g.isRestoredEntry(u) {
 		g.log("upstream", "entry is older than its upstream", "upstream", u.ID, "revision", revision.Number)
 		return
@@ -134,7 +154,7 @@
 	changed := !known || returned || old.State != u.State || !old.StartedAt.Equal(u.StartedAt) || old.Address != u.Address
 	if changed {
 		g.log("upstream", "upstream listed", "upstream", u.ID, "service", u.Service, "zone", u.Zone,
-			"state", string(u.State), "revision", revision.Number, "reclaimable", u.Reclaimable, "version", u.Version)
+			"state", string(u.State), "from", from, "revision", revision.Number, "reclaimable", u.Reclaimable, "version", u.Version)
 	}
 	g.upstreams.Put(u)
 	if g.recordEntryCold(u, old) || changed {
@@ -147,21 +167,25 @@
 // removeUpstream removes an upstream and records it in the delta. While the
 // store is lost or has just come back, entries of running upstreams may be
 // missing temporarily, so the upstream is only marked as missing.
-func (g *Gateway) removeUpstream(id string, delta *peer.UpstreamsDelta) {
+func (g *Gateway) removeUpstream(id, from string, delta *peer.UpstreamsDelta) {
 	if _, known := g.upstreams.Get(id); !known {
 		return
 	}
 	if g.storeDown || g.now.Sub(g.storeRegainedAt) < relistGrace && !g.storeRegainedAt.IsZero() {
+		if !g.missing[id] {
+			g.count(CountChange, changeMissing)
+			g.log("upstream", "upstream missing", "upstream", id, "from", from, "store_down", g.storeDown)
+		}
 		g.missing[id] = true
 		g.upstreams.MarkUnlisted(id)
 		return
 	}
 	delta.Removed = append(delta.Removed, id)
-	g.deleteUpstream(id)
+	g.deleteUpstream(id, from)
 }
 
-// deleteUpstream deletes all state of an upstream.
-func (g *Gateway) deleteUpstream(id string) {
+// deleteUpstream deletes all state of an upstream. from is the source of its removal, for the log.
+func (g *Gateway) deleteUpstream(id, from string) {
 	delete(g.missing, id)
 	delete(g.drainingSince, id)
 	delete(g.roster.sharers, id)
@@ -169,7 +193,7 @@
 		g.departed[processID(u)] = g.now
 	}
 	g.upstreams.Remove(id)
-	g.log("upstream", "upstream gone", "upstream", id)
+	g.log("upstream", "upstream gone", "upstream", id, "from", from)
 }
 
 // removeMissing deletes the upstreams whose entries are still missing after
@@ -179,6 +203,6 @@
 		return
 	}
 	for id := range g.missing {
-		g.deleteUpstream(id)
+		g.deleteUpstream(id, sourceOutage)
 	}
 }
--- a/internal/run/gateway/metrics.go
+++ b/internal/run/gateway/metrics.go
@@ -13,7 +13,7 @@
 
 func newCounters() map[core.Counter]*expvar.Map {
 	maps := make(map[core.Counter]*expvar.Map)
-	for _, c := range []core.Counter{core.CountRefusal, core.CountRetry, core.CountResult, core.CountDuty, core.CountMove, core.CountAnswer, core.CountExtra, core.CountLoad, core.CountQuota, core.CountCold} {
+	for _, c := range []core.Counter{core.CountRefusal, core.CountRetry, core.CountResult, core.CountDuty, core.CountMove, core.CountAnswer, core.CountExtra, core.CountLoad, core.CountQuota, core.CountCold, core.CountMissing, core.CountChange} {
 		maps[c] = expvar.NewMap(string(c))
 	}
 	for _, reason := range core.Reasons() {
@@ -32,6 +32,9 @@
 	for _, label := range core.LoadLabels() {
 		maps[core.CountLoad].Add(label, 0)
 	}
+	for _, label := range core.ChangeLabels() {
+		maps[core.CountChange].Add(label, 0)
+	}
 	return maps
 }
 
