--- a/internal/core/gateway/store_world_faults_test.go
+++ b/internal/core/gateway/store_world_faults_test.go
@@ -192,7 +192,7 @@
 		result = Ended{Conn: e.Conn, Attempt: e.Attempt, Result: ResultComplete, Framing: FramingLength}
 		w.after(5*time.Millisecond, func() { w.reduce(n, g, Began{Conn: e.Conn, Attempt: e.Attempt}) })
 	}
-	w.after(10*time.Millisecond, func() { w.reduce(n, g, result) })
+	w.after(w.answerTime, func() { w.reduce(n, g, result) })
 }
 
 // checkConfig checks that all nodes have a configuration in force in time, and keep it.
--- a/internal/core/gateway/store_world_test.go
+++ b/internal/core/gateway/store_world_test.go
@@ -36,6 +36,12 @@
 	hideGeneration bool
 	neverRestored  bool
 	down           bool
+	// turnedAway holds until when the store turns a node away, by name.
+	turnedAway map[string]time.Time
+	// lossy is set if some messages between nodes are lost.
+	lossy bool
+	// answerTime is how long a request takes at an upstream.
+	answerTime time.Duration
 	// unstableAt holds the times at which the store was down or was restored.
 	unstableAt []time.Time
 
@@ -128,6 +134,7 @@
 func newStoreWorld(seed uint64) *storeWorld {
 	w := &storeWorld{
 		rng: rand.New(rand.NewPCG(seed, 1)), now: epoch, generation: 1,
+		turnedAway: make(map[string]time.Time), answerTime: 10 * time.Millisecond,
 		upstreams: make(map[string]*worldUpstream), usage: make(map[int64]map[string]int64),
 	}
 	w.objects.entries = make(map[string]placement.Upstream)
@@ -234,6 +241,9 @@
 }
 
 func (w *storeWorld) send(from *worldNode, e Send) {
+	if w.lossy && w.rng.IntN(lossOneIn) == 0 {
+		return
+	}
 	i := slices.IndexFunc(w.nodes, func(n *worldNode) bool { return n.name == e.Address })
 	to := w.nodes[i]
 	g := to.g
@@ -256,11 +266,11 @@
 		lost, late = true, time.Duration(w.rng.Int64N(int64(3*time.Second)))
 	}
 	w.after(w.latency()+late, func() {
-		if w.down {
+		if w.down || w.isTurnedAway(n) {
 			lost = true
 		}
 		var answer Event
-		if !lost || !w.down {
+		if !lost || !w.down && !w.isTurnedAway(n) {
 			answer = do()
 		}
 		generation := w.generation
@@ -332,7 +342,7 @@
 		if n.g != g {
 			return
 		}
-		if w.down {
+		if w.down || w.isTurnedAway(n) {
 			w.reduce(n, g, StoreLost{})
 			n.reading, n.watches, n.nextRead = false, false, w.now.Add(300*time.Millisecond)
 			return
