gateway: a removal that a peer has read holds at a node without the store

Cause: a node without the store took each removal for an entry that may return, also one that a peer had read from a store that serves it. A peer that has just regained the store itself passes on no removal, so what it does pass on is definite and is applied. TestRemovalByPeerHoldsWithoutStore failed before (12 of 24 requests to the removed upstream) and passes. TestNodesTurnedAway still fails, on changes behind a missed one.

--- a/internal/core/gateway/upstreams.go
+++ b/internal/core/gateway/upstreams.go
@@ -114,7 +114,8 @@
 		g.putUpstream(u, from, d.At(), &peer.UpstreamsDelta{})
 	}
 	for _, id := range d.Removed {
-		g.removeUpstream(id, from, &peer.UpstreamsDelta{})
+		// Its sender has the store, so the entry has not just expired in an outage.
+		g.deleteUpstream(id, from)
 	}
 	g.count(CountChange, changeApplied)
 	g.upstreamsCurrentAt = g.now
@@ -164,8 +165,8 @@
 	g.moveRuns(u)
 }
 
-// removeUpstream removes an upstream and records it in the delta. While the
-// store is lost or has just come back, entries of running upstreams may be
+// removeUpstream removes an upstream that the store does not list, and records it in the
+// delta. While the store is lost or has just come back, entries of running upstreams may be
 // missing temporarily, so the upstream is only marked as missing.
 func (g *Gateway) removeUpstream(id, from string, delta *peer.UpstreamsDelta) {
 	if _, known := g.upstreams.Get(id); !known {
@@ -186,12 +187,14 @@
 
 // deleteUpstream deletes all state of an upstream. from is the source of its removal, for the log.
 func (g *Gateway) deleteUpstream(id, from string) {
+	u, known := g.upstreams.Get(id)
+	if !known {
+		return
+	}
+	g.departed[processID(u)] = g.now
 	delete(g.missing, id)
 	delete(g.drainingSince, id)
 	delete(g.roster.sharers, id)
-	if u, known := g.upstreams.Get(id); known {
-		g.departed[processID(u)] = g.now
-	}
 	g.upstreams.Remove(id)
 	g.log("upstream", "upstream gone", "upstream", id, "from", from)
 }
