gateway: leaves behind a missed change are applied at once

A node that had missed one change of the upstreams applied none of those that followed: it listed the store instead, which turned it away. It sent requests to upstreams that had left seconds before, until the store served it again. TestNodesTurnedAway shows it without any lost message: a node that has just started isn't in contact yet and is sent no change. Leaves among such changes are applied now. An upstream whose entry is removed counts as draining until the missed change is known, since its entry may have been written again; earlier changes and lists take nothing back.

--- /dev/null
+++ b/internal/core/gateway/ahead.go
@@ -0,0 +1,52 @@
+package gateway
+
+import (
+	"monsoonlanding/internal/core/peer"
+	"monsoonlanding/internal/core/placement"
+	"monsoonlanding/internal/core/store"
+)
+
+// A node that has missed a change of the upstreams lists them anew and applies no later change
+// until then. The store may turn the node away for long, so the leaves among the later changes
+// are applied at once: an upstream that leaves gets no request, whatever the missed change says.
+
+// aheadChange is the leave of an upstream that was applied ahead of a missed change.
+type aheadChange struct {
+	revision store.Revision
+	// removed is set if the upstream's entry was removed. The upstream is kept as draining until
+	// the missed change is known, since its entry may have been written again.
+	removed bool
+}
+
+// isAhead reports whether a later change of an upstream than the one at a revision was applied.
+func (g *Gateway) isAhead(id string, revision store.Revision) bool {
+	a, ok := g.ahead[id]
+	return ok && revision.Before(a.revision)
+}
+
+// applyLeaves applies the leaves among the changes of a peer, before which another change was
+// missed.
+func (g *Gateway) applyLeaves(from string, d peer.UpstreamsDelta) {
+	for _, u := range d.Put {
+		if u.State != placement.StateDraining || g.isAhead(u.ID, d.At()) {
+			continue
+		}
+		g.putUpstream(u, from, d.At(), &peer.UpstreamsDelta{})
+		g.ahead[u.ID] = aheadChange{revision: d.At()}
+	}
+	for _, id := range d.Removed {
+		g.withdraw(id, from, d.At())
+	}
+}
+
+// withdraw takes an upstream out of service whose entry was removed at a revision.
+func (g *Gateway) withdraw(id, from string, revision store.Revision) {
+	u, known := g.upstreams.Get(id)
+	if !known || g.isAhead(id, revision) {
+		return
+	}
+	g.ahead[id] = aheadChange{revision: revision, removed: true}
+	u.State = placement.StateDraining
+	g.upstreams.Put(u)
+	g.log("upstream", "upstream withdrawn", "upstream", id, "from", from, "revision", revision.Number)
+}
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -114,6 +114,8 @@
 	// missing holds the upstreams whose entries are temporarily missing from
 	// the store.
 	missing map[string]bool
+	// ahead holds what was applied ahead of a missed change, by upstream.
+	ahead map[string]aheadChange
 	// relisted is set once the upstreams have been listed again for the sake of those that
 	// are missing.
 	relisted bool
@@ -198,6 +200,7 @@
 		table:           &route.Table{},
 		missing:         make(map[string]bool),
 		departed:        make(departures),
+		ahead:           make(map[string]aheadChange),
 		relaysAt:        make(map[string]int),
 		spread:          configSpread{receivers: make(map[string]time.Time)},
 		drainingSince:   make(map[string]time.Time),
--- a/internal/core/gateway/upstreams.go
+++ b/internal/core/gateway/upstreams.go
@@ -34,7 +34,7 @@
 	}
 	for _, u := range g.upstreams.All() {
 		if !present[u.ID] {
-			g.removeUpstream(u.ID, sourceStore, &delta)
+			g.removeUpstream(u.ID, sourceStore, e.Revision, &delta)
 		}
 	}
 	g.sendDelta(delta)
@@ -54,7 +54,7 @@
 		g.putUpstream(u, sourceStore, e.Revision, &delta)
 	}
 	for _, id := range e.Removed {
-		g.removeUpstream(id, sourceStore, &delta)
+		g.removeUpstream(id, sourceStore, e.Revision, &delta)
 	}
 	g.sendDelta(delta)
 	g.logColdChanges("store")
@@ -104,6 +104,7 @@
 		return
 	}
 	if d.Generation > g.knownRevision.Generation || d.Previous > g.knownRevision.Number {
+		g.applyLeaves(from, d)
 		g.count(CountChange, changeSkipped)
 		g.log("upstream", "listing upstreams, an earlier change was missed", "peer", from, "revision", d.Revision,
 			"previous", d.Previous, "own", g.knownRevision.Number, "put", len(d.Put), "removed", d.Removed, "store_down", g.storeDown)
@@ -114,6 +115,9 @@
 		g.putUpstream(u, from, d.At(), &peer.UpstreamsDelta{})
 	}
 	for _, id := range d.Removed {
+		if g.isAhead(id, d.At()) {
+			continue
+		}
 		// Its sender has the store, so the entry has not just expired in an outage.
 		g.deleteUpstream(id, from)
 	}
@@ -139,12 +143,17 @@
 		g.log("upstream", "entry is older than its upstream", "upstream", u.ID, "revision", revision.Number)
 		return
 	}
+	if g.isAhead(u.ID, revision) {
+		return
+	}
 	returned := g.missing[u.ID]
 	delete(g.missing, u.ID)
 	delete(g.departed, processID(u))
 	old, known := g.upstreams.Get(u.ID)
+	withdrawn := g.ahead[u.ID].removed
+	delete(g.ahead, u.ID)
 	u = g.asLeaving(u)
-	if known && old.State == placement.StateDraining && old.StartedAt.Equal(u.StartedAt) {
+	if known && !withdrawn && old.State == placement.StateDraining && old.StartedAt.Equal(u.StartedAt) {
 		// A process that drains is never ready again.
 		if u.State == placement.StateReady {
 			// Peers that have started since may take the restored entry for true.
@@ -168,8 +177,14 @@
 // removeUpstream removes an upstream that the store does not list, and records it in the
 // delta. While the store is lost or has just come back, entries of running upstreams may be
 // missing temporarily, so the upstream is only marked as missing.
-func (g *Gateway) removeUpstream(id, from string, delta *peer.UpstreamsDelta) {
-	if _, known := g.upstreams.Get(id); !known {
+func (g *Gateway) removeUpstream(id, from string, revision store.Revision, delta *peer.UpstreamsDelta) {
+	if _, known := g.upstreams.Get(id); !known || g.isAhead(id, revision) {
+		return
+	}
+	if g.ahead[id].removed {
+		// A peer has read its removal from the store, too.
+		delta.Removed = append(delta.Removed, id)
+		g.deleteUpstream(id, from)
 		return
 	}
 	if g.storeDown || g.now.Sub(g.storeRegainedAt) < relistGrace && !g.storeRegainedAt.IsZero() {
@@ -193,6 +208,7 @@
 	}
 	g.departed[processID(u)] = g.now
 	delete(g.missing, id)
+	delete(g.ahead, id)
 	delete(g.drainingSince, id)
 	delete(g.roster.sharers, id)
 	g.upstreams.Remove(id)
