gateway: what was applied ahead of a missed change is passed on with the next list

A node learned of a leave behind a missed change, listed the store and told its peers what the list changed: not the leave, which it knew already. An entry that was applied ahead counts as changed when it is read.

--- a/internal/core/gateway/upstreams.go
+++ b/internal/core/gateway/upstreams.go
@@ -150,10 +150,10 @@
 	delete(g.missing, u.ID)
 	delete(g.departed, processID(u))
 	old, known := g.upstreams.Get(u.ID)
-	withdrawn := g.ahead[u.ID].removed
+	ahead, isAhead := g.ahead[u.ID]
 	delete(g.ahead, u.ID)
 	u = g.asLeaving(u)
-	if known && !withdrawn && old.State == placement.StateDraining && old.StartedAt.Equal(u.StartedAt) {
+	if known && !ahead.removed && old.State == placement.StateDraining && old.StartedAt.Equal(u.StartedAt) {
 		// A process that drains is never ready again.
 		if u.State == placement.StateReady {
 			// Peers that have started since may take the restored entry for true.
@@ -161,7 +161,8 @@
 		}
 		u.State, u.StopsAt = old.State, old.StopsAt
 	}
-	changed := !known || returned || old.State != u.State || !old.StartedAt.Equal(u.StartedAt) || old.Address != u.Address
+	// What was applied ahead has not been passed on to the peers.
+	changed := !known || returned || isAhead || old.State != u.State || !old.StartedAt.Equal(u.StartedAt) || old.Address != u.Address
 	if changed {
 		g.log("upstream", "upstream listed", "upstream", u.ID, "service", u.Service, "zone", u.Zone,
 			"state", string(u.State), "from", from, "revision", revision.Number, "reclaimable", u.Reclaimable, "version", u.Version)
