gateway: a peer sends what a node without the store has missed once more

A change of the upstreams went to each node once. When a status shows a node without the store behind, one of the nodes that reach the store sends it what it lacks, and one more with each further status, since the first may have started too late to know.

--- a/internal/core/gateway/effect.go
+++ b/internal/core/gateway/effect.go
@@ -206,12 +206,16 @@
 	// was missed.
 	changeApplied = "applied"
 	changeSkipped = "skipped"
+	// changeResent: changes were sent again to a peer that has missed them.
+	changeResent = "resent"
 	// changeMissing: an entry is missing and its upstream may return.
 	changeMissing = "missing"
 )
 
 // ChangeLabels lists the labels of CountChange.
-func ChangeLabels() []string { return []string{changeApplied, changeSkipped, changeMissing} }
+func ChangeLabels() []string {
+	return []string{changeApplied, changeSkipped, changeResent, changeMissing}
+}
 
 // ExtraSkipped is the only label of CountExtra.
 const ExtraSkipped = "skipped"
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -114,6 +114,7 @@
 	// missing holds the upstreams whose entries are temporarily missing from
 	// the store.
 	missing map[string]bool
+	changes changeLog
 	// ahead holds what was applied ahead of a missed change, by upstream.
 	ahead map[string]aheadChange
 	// relisted is set once the upstreams have been listed again for the sake of those that
@@ -200,6 +201,7 @@
 		table:           &route.Table{},
 		missing:         make(map[string]bool),
 		departed:        make(departures),
+		changes:         changeLog{latest: make(map[string]upstreamChange)},
 		ahead:           make(map[string]aheadChange),
 		relaysAt:        make(map[string]int),
 		spread:          configSpread{receivers: make(map[string]time.Time)},
@@ -397,6 +399,7 @@
 	g.expireEvacuations()
 	g.pruneLeaves()
 	g.pruneDeparted()
+	g.changes.prune(g.now)
 	g.prunePaths()
 }
 
--- a/internal/core/gateway/members.go
+++ b/internal/core/gateway/members.go
@@ -70,6 +70,9 @@
 	// was charged meanwhile for its unreported spending, by team.
 	quotaSilent  bool
 	quotaCharged map[string]float64
+	// statusesBehind counts the statuses in a row that show the node without the store and behind
+	// the changes of upstreams that this node knows.
+	statusesBehind int
 	// addedAt is when the node became known here.
 	addedAt time.Time
 }
--- a/internal/core/gateway/status.go
+++ b/internal/core/gateway/status.go
@@ -195,6 +195,7 @@
 		g.fetchConfig()
 	}
 	g.relistIfBehind(m)
+	g.resendChanges(m)
 	for _, node := range s.Unreachable {
 		if other := g.members[node]; other != nil {
 			other.reportedUnreachable = true
--- a/internal/core/gateway/upstreams.go
+++ b/internal/core/gateway/upstreams.go
@@ -24,6 +24,9 @@
 	if g.isOvertaken(e.Revision) {
 		return
 	}
+	if !g.upstreamsRead {
+		g.changes.since = e.Revision
+	}
 	g.upstreamsRead = true
 	g.upstreamsCurrentAt = g.now
 	present := make(map[string]bool, len(e.List))
@@ -89,6 +92,7 @@
 		return
 	}
 	g.changedRevision = store.Latest(g.changedRevision, delta.At())
+	g.changes.record(g.now, delta)
 	for _, m := range g.sortedMembers() {
 		if g.inContact(m) && m.status.UpstreamsAt().Before(delta.At()) {
 			g.emit(Send{Node: m.node, Address: m.address, Message: delta})
@@ -125,6 +129,7 @@
 	g.upstreamsCurrentAt = g.now
 	g.knownRevision = d.At()
 	g.changedRevision = store.Latest(g.changedRevision, d.At())
+	g.changes.record(g.now, d)
 	g.logColdChanges(from)
 	g.dispatchQueues()
 }
