gateway: a request is not written to an upstream that has left meanwhile

A request that waits for a connection was checked again for pauses and evacuations only when it was about to be written, so that one that was chosen before a leave was known was written after it (up to half a second later, the time to connect, and longer on a node that is short of processor time). The check covers leaves, removals and another process or service under the upstream's ID. The request goes elsewhere and is no retry. Calls that move runs off a leaving engine pass as before.

--- /dev/null
+++ b/internal/core/gateway/admit.go
@@ -0,0 +1,13 @@
+package gateway
+
+import "time"
+
+// AdmitsRequest reports whether the upstream of a dispatched request still takes it now, when it is
+// about to be written: the request may have waited for a connection, and the upstream may have
+// left, asked for a pause or been replaced meanwhile.
+func (g *Gateway) AdmitsRequest(now time.Time, d Dispatch) bool {
+	if !g.Admits(now, d.Upstream) {
+		return false
+	}
+	return d.From != (KVCache{}) || g.upstreams.TakesNew(d.Upstream)
+}
--- a/internal/core/gateway/pause.go
+++ b/internal/core/gateway/pause.go
@@ -49,7 +49,3 @@
 func (g *Gateway) Admits(now time.Time, u placement.Upstream) bool {
 	return g.evacuationsKnown() && g.upstreams.Admits(now, u)
 }
-
-// AdmitsRequest reports whether the upstream of a dispatched request takes it now, when it is about
-// to be written.
-func (g *Gateway) AdmitsRequest(now time.Time, d Dispatch) bool { return g.Admits(now, d.Upstream) }
--- a/internal/core/placement/set.go
+++ b/internal/core/placement/set.go
@@ -161,6 +161,13 @@
 	return m.Upstream, true
 }
 
+// TakesNew reports whether an upstream is listed as ready, as the same process and in the same
+// service.
+func (s *Set) TakesNew(u Upstream) bool {
+	m := s.members[u.ID]
+	return m != nil && m.State == StateReady && m.StartedAt.Equal(u.StartedAt) && m.Service == u.Service
+}
+
 // All returns the upstreams in order of ID.
 func (s *Set) All() []Upstream {
 	list := make([]Upstream, 0, len(s.members))
--- a/internal/run/gateway/attempt.go
+++ b/internal/run/gateway/attempt.go
@@ -126,7 +126,7 @@
 		answer, err = h.runner.pool.Do(ctx, d.Relay.Address, h.relayRequest(d, remaining))
 		return answer, true, err
 	}
-	answer, err = h.runner.exchange(ctx, d.Upstream, h.upstreamRequest(d, remaining))
+	answer, err = h.runner.exchangeDispatched(ctx, d, h.upstreamRequest(d, remaining))
 	return answer, false, err
 }
 
--- a/internal/run/gateway/exchange.go
+++ b/internal/run/gateway/exchange.go
@@ -13,12 +13,25 @@
 // to be written.
 type Exchange func(ctx context.Context, u placement.Upstream, request *http1.Request) (*http1.Answer, error)
 
-// exchange sends a request to an upstream. Whatever this node sends to one goes through here.
+// exchange sends a call to an upstream. What this node sends to one goes through here or through
+// exchangeDispatched.
 func (r *Runner) exchange(ctx context.Context, u placement.Upstream, request *http1.Request) (*http1.Answer, error) {
 	request.Admit = func() bool { return r.admits(u) }
 	return r.pool.Do(ctx, u.Address, request)
 }
 
+// exchangeDispatched sends a caller's request to the upstream that it was dispatched to.
+func (r *Runner) exchangeDispatched(ctx context.Context, d core.Dispatch, request *http1.Request) (*http1.Answer, error) {
+	request.Admit = func() bool { return r.admitsRequest(d) }
+	return r.pool.Do(ctx, d.Upstream.Address, request)
+}
+
+func (r *Runner) admitsRequest(d core.Dispatch) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core.AdmitsRequest(r.cfg.Clock.Now(), d)
+}
+
 // admits reports whether an upstream takes requests from this node now.
 func (r *Runner) admits(u placement.Upstream) bool {
 	r.mu.Lock()
