gateway: a stopped run does not continue at an upstream that left long ago

A run that has been stopped to be moved continues at the target, or at its source if the target had no room. Nothing asked whether that upstream had left meanwhile, though a move takes up to two seconds and its run may wait for the end of a pause, so that a request reached an upstream long after its leave. It continues there only within the time for which a leaving upstream is known to serve; otherwise a resumable stream goes on elsewhere and another one fails at once, those that wait included. TestStoppedRunDoesNotContinueAfterLeave failed in three rows; the two rows in which the leave is recent passed and pass.

--- a/internal/core/gateway/admit.go
+++ b/internal/core/gateway/admit.go
@@ -9,5 +9,8 @@
 	if !g.Admits(now, d.Upstream) {
 		return false
 	}
-	return d.From != (KVCache{}) || g.upstreams.TakesNew(d.Upstream)
+	if d.From != (KVCache{}) {
+		return g.mayContinueAt(now, d.Upstream)
+	}
+	return g.upstreams.TakesNew(d.Upstream)
 }
--- a/internal/core/gateway/move.go
+++ b/internal/core/gateway/move.go
@@ -220,13 +220,40 @@
 	ended Ended
 }
 
+// mayContinueAt reports whether a stopped run may continue at an upstream: it takes new requests,
+// or has left so recently that it still serves.
+func (g *Gateway) mayContinueAt(now time.Time, u placement.Upstream) bool {
+	if g.upstreams.TakesNew(u) {
+		return true
+	}
+	left, known := g.leftAt(u)
+	return known && now.Before(left.Add(defaultDrainTime-stopMargin)) &&
+		(u.StopsAt.IsZero() || now.Before(u.StopsAt.Add(-stopMargin)))
+}
+
+// leftAt returns when the node learned that a process of an upstream leaves or is gone. It reports
+// false if it did not.
+func (g *Gateway) leftAt(u placement.Upstream) (time.Time, bool) {
+	if listed, ok := g.upstreams.Get(u.ID); ok && processID(listed) == processID(u) {
+		left, known := g.drainingSince[u.ID]
+		return left, known
+	}
+	left, known := g.departed[processID(u)]
+	return left, known
+}
+
 // continueRun continues a stopped run. If the upstream has asked for a pause, or is cold and has no
 // room, a stream that can be resumed elsewhere is; another one waits if it may be served then.
-// None waits for an evacuated zone, which may be so for hours.
+// None waits for an evacuated zone, which may be so for hours, and none continues at an upstream that
+// left some time ago.
 func (g *Gateway) continueRun(r *request, run stoppedRun) {
 	coldWait := g.upstreams.ColdWait(g.now, run.upstream.ID)
 	left := max(g.upstreams.PauseLeft(g.now, run.upstream), coldWait)
 	switch {
+	case !g.mayContinueAt(g.now, run.upstream):
+		r.stopped = nil
+		g.logRequest(r, "move", "stopped run can't continue, its upstream has left", "upstream", run.upstream.ID)
+		g.afterRun(r, run.ended)
 	case g.upstreams.Admits(g.now, run.upstream) && coldWait == 0:
 		r.stopped = nil
 		g.dispatchTo(r, run.upstream, run.from)
@@ -256,7 +283,7 @@
 	slices.SortFunc(stopped, byArrival)
 	for _, r := range stopped {
 		u := r.stopped.upstream
-		if g.isEvacuated(u) || g.upstreams.Admits(g.now, u) && g.upstreams.ColdWait(g.now, u.ID) == 0 {
+		if g.isEvacuated(u) || !g.mayContinueAt(g.now, u) || g.upstreams.Admits(g.now, u) && g.upstreams.ColdWait(g.now, u.ID) == 0 {
 			g.continueRun(r, *r.stopped)
 		}
 	}
