gateway: runs are moved once a whole change of upstreams is known

An availability zone's upstreams leave in one change. A change, whether read, listed or received from a peer, and the leaves that a status names, are applied whole before runs are moved.

--- a/internal/core/gateway/ahead.go
+++ b/internal/core/gateway/ahead.go
@@ -27,26 +27,29 @@
 // applyLeaves applies the leaves among the changes of a peer, before which another change was
 // missed.
 func (g *Gateway) applyLeaves(from string, d peer.UpstreamsDelta) {
+	c := &listChange{from: from, revision: d.At()}
 	for _, u := range d.Put {
 		if u.State != placement.StateDraining || g.isAhead(u.ID, d.At()) {
 			continue
 		}
-		g.putUpstream(u, from, d.At(), &peer.UpstreamsDelta{})
+		g.putUpstream(u, c)
 		g.ahead[u.ID] = aheadChange{revision: d.At()}
 	}
 	for _, id := range d.Removed {
-		g.withdraw(id, from, d.At())
+		g.withdraw(id, c)
 	}
+	g.moveLeavingRuns(c)
 }
 
-// withdraw takes an upstream out of service whose entry was removed at a revision.
-func (g *Gateway) withdraw(id, from string, revision store.Revision) {
+// withdraw takes an upstream out of service whose entry a change has removed.
+func (g *Gateway) withdraw(id string, c *listChange) {
 	u, known := g.upstreams.Get(id)
-	if !known || g.isAhead(id, revision) {
+	if !known || g.isAhead(id, c.revision) {
 		return
 	}
-	g.ahead[id] = aheadChange{revision: revision, removed: true}
+	g.ahead[id] = aheadChange{revision: c.revision, removed: true}
 	u.State = placement.StateDraining
 	g.upstreams.Put(u)
-	g.log("upstream", "upstream withdrawn", "upstream", id, "from", from, "revision", revision.Number)
+	g.trackDraining(u)
+	g.log("upstream", "upstream withdrawn", "upstream", id, "from", c.from, "revision", c.revision.Number)
 }
--- a/internal/core/gateway/leaving.go
+++ b/internal/core/gateway/leaving.go
@@ -15,20 +15,31 @@
 // a peer, with the time at which they were last listed.
 type leaves map[uint64]time.Time
 
-// leaveAnnounced records that a process of an upstream has said to a node that it leaves.
-func (g *Gateway) leaveAnnounced(process uint64, to string) {
-	if _, known := g.leaves[process]; known {
+// leavesAnnounced records that processes of upstreams have said to a node that they leave. Their runs
+// are moved once all of these leaves are known.
+func (g *Gateway) leavesAnnounced(to string, processes ...uint64) {
+	news := make(map[uint64]bool)
+	for _, process := range processes {
+		if _, known := g.leaves[process]; !known {
+			g.leaves[process] = g.now
+			news[process] = true
+		}
+	}
+	if len(news) == 0 {
 		return
 	}
-	g.leaves[process] = g.now
+	var leaving []placement.Upstream
 	for _, u := range g.upstreams.All() {
-		if processID(u) != process {
+		if !news[processID(u)] {
 			continue
 		}
 		g.log("upstream", "upstream says that it leaves", "upstream", u.ID, "node", to, "state", string(u.State))
 		u = g.asLeaving(u)
 		g.upstreams.Put(u)
 		g.trackDraining(u)
+		leaving = append(leaving, u)
+	}
+	for _, u := range leaving {
 		g.moveRuns(u)
 	}
 }
--- a/internal/core/gateway/signals.go
+++ b/internal/core/gateway/signals.go
@@ -35,7 +35,7 @@
 		g.refusePaused(u.Service)
 	}
 	if s.Leaving {
-		g.leaveAnnounced(processID(u), g.cfg.Node)
+		g.leavesAnnounced(g.cfg.Node, processID(u))
 	}
 	if current, ok := g.upstreams.Get(u.ID); !ok || processID(current) != processID(u) {
 		// Another process has taken its place, of which it says nothing.
--- a/internal/core/gateway/status.go
+++ b/internal/core/gateway/status.go
@@ -170,9 +170,7 @@
 	g.upstreams.MergeSamples(g.now, s.Node, s.Start, s.Samples)
 	g.mergeCold(s)
 	g.departuresReported(s.Node, s.Departed)
-	for _, process := range s.Leaving {
-		g.leaveAnnounced(process, s.Node)
-	}
+	g.leavesAnnounced(s.Node, s.Leaving...)
 	g.quarantine.Merge(g.now, s.Node, s.Quarantine)
 	g.judge()
 	g.usage.peerReported(s)
--- a/internal/core/gateway/upstreams.go
+++ b/internal/core/gateway/upstreams.go
@@ -19,6 +19,30 @@
 	sourceOutage = "outage"
 )
 
+// listChange is a change of the list of upstreams while it is applied.
+type listChange struct {
+	// from is its source, for the log.
+	from     string
+	revision store.Revision
+	// delta collects what peers are to be sent.
+	delta peer.UpstreamsDelta
+	// leaving collects the upstreams that drain.
+	leaving []placement.Upstream
+}
+
+// newChange returns the change that a read of the store at a revision makes.
+func (g *Gateway) newChange(revision store.Revision) *listChange {
+	return &listChange{from: sourceStore, revision: revision, delta: g.newDelta(revision)}
+}
+
+// moveLeavingRuns moves the runs at the upstreams that a change lists as draining. It is called
+// once the whole change has been applied: many upstreams may leave at once.
+func (g *Gateway) moveLeavingRuns(c *listChange) {
+	for _, u := range c.leaving {
+		g.moveRuns(u)
+	}
+}
+
 // upstreamsListed replaces the known upstreams by the complete list.
 func (g *Gateway) upstreamsListed(e UpstreamsListed) {
 	if g.isOvertaken(e.Revision) {
@@ -30,18 +54,19 @@
 	g.upstreamsRead = true
 	g.upstreamsCurrentAt = g.now
 	present := make(map[string]bool, len(e.List))
-	delta := g.newDelta(e.Revision)
+	c := g.newChange(e.Revision)
 	for _, u := range e.List {
 		present[u.ID] = true
-		g.putUpstream(u, sourceStore, e.Revision, &delta)
+		g.putUpstream(u, c)
 	}
 	for _, u := range g.upstreams.All() {
 		if !present[u.ID] {
-			g.removeUpstream(u.ID, sourceStore, e.Revision, &delta)
+			g.removeUpstream(u.ID, c)
 		}
 	}
-	g.sendDelta(delta)
-	g.logColdChanges("store")
+	g.moveLeavingRuns(c)
+	g.sendDelta(c.delta)
+	g.logColdChanges(sourceStore)
 	g.dispatchQueues()
 }
 
@@ -52,15 +77,16 @@
 		return
 	}
 	g.upstreamsCurrentAt = g.now
-	delta := g.newDelta(e.Revision)
+	c := g.newChange(e.Revision)
 	for _, u := range e.Put {
-		g.putUpstream(u, sourceStore, e.Revision, &delta)
+		g.putUpstream(u, c)
 	}
 	for _, id := range e.Removed {
-		g.removeUpstream(id, sourceStore, e.Revision, &delta)
+		g.removeUpstream(id, c)
 	}
-	g.sendDelta(delta)
-	g.logColdChanges("store")
+	g.moveLeavingRuns(c)
+	g.sendDelta(c.delta)
+	g.logColdChanges(sourceStore)
 	g.dispatchQueues()
 }
 
@@ -115,8 +141,9 @@
 		g.emit(ListFeed{Feed: FeedUpstreams})
 		return
 	}
+	c := &listChange{from: from, revision: d.At()}
 	for _, u := range d.Put {
-		g.putUpstream(u, from, d.At(), &peer.UpstreamsDelta{})
+		g.putUpstream(u, c)
 	}
 	for _, id := range d.Removed {
 		if g.isAhead(id, d.At()) {
@@ -125,6 +152,7 @@
 		// Its sender has the store, so the entry has not just expired in an outage.
 		g.deleteUpstream(id, from)
 	}
+	g.moveLeavingRuns(c)
 	g.count(CountChange, changeApplied)
 	g.upstreamsCurrentAt = g.now
 	g.knownRevision = d.At()
@@ -142,13 +170,13 @@
 	}
 }
 
-// putUpstream adds or replaces an upstream and records a change in the delta.
-func (g *Gateway) putUpstream(u placement.Upstream, from string, revision store.Revision, delta *peer.UpstreamsDelta) {
+// putUpstream adds or replaces an upstream as part of a change.
+func (g *Gateway) putUpstream(u placement.Upstream, c *listChange) {
 	if g.isRestoredEntry(u) {
-		g.log("upstream", "entry is older than its upstream", "upstream", u.ID, "revision", revision.Number)
+		g.log("upstream", "entry is older than its upstream", "upstream", u.ID, "revision", c.revision.Number)
 		return
 	}
-	if g.isAhead(u.ID, revision) {
+	if g.isAhead(u.ID, c.revision) {
 		return
 	}
 	returned := g.missing[u.ID]
@@ -170,40 +198,41 @@
 	changed := !known || returned || isAhead || old.State != u.State || !old.StartedAt.Equal(u.StartedAt) || old.Address != u.Address
 	if changed {
 		g.log("upstream", "upstream listed", "upstream", u.ID, "service", u.Service, "zone", u.Zone,
-			"state", string(u.State), "from", from, "revision", revision.Number, "reclaimable", u.Reclaimable, "version", u.Version)
+			"state", string(u.State), "from", c.from, "revision", c.revision.Number, "reclaimable", u.Reclaimable, "version", u.Version)
 	}
 	g.upstreams.Put(u)
 	if g.recordEntryCold(u, old) || changed {
-		delta.Put = append(delta.Put, u)
+		c.delta.Put = append(c.delta.Put, u)
 	}
 	g.trackDraining(u)
-	g.moveRuns(u)
+	if u.State == placement.StateDraining {
+		c.leaving = append(c.leaving, u)
+	}
 }
 
-// removeUpstream removes an upstream that the store does not list, and records it in the
-// delta. While the store is lost or has just come back, entries of running upstreams may be
+// removeUpstream removes an upstream that the store does not list, as part of a change. While the store is lost or has just come back, entries of running upstreams may be
 // missing temporarily, so the upstream is only marked as missing.
-func (g *Gateway) removeUpstream(id, from string, revision store.Revision, delta *peer.UpstreamsDelta) {
-	if _, known := g.upstreams.Get(id); !known || g.isAhead(id, revision) {
+func (g *Gateway) removeUpstream(id string, c *listChange) {
+	if _, known := g.upstreams.Get(id); !known || g.isAhead(id, c.revision) {
 		return
 	}
 	if g.ahead[id].removed {
 		// A peer has read its removal from the store, too.
-		delta.Removed = append(delta.Removed, id)
-		g.deleteUpstream(id, from)
+		c.delta.Removed = append(c.delta.Removed, id)
+		g.deleteUpstream(id, c.from)
 		return
 	}
 	if g.storeDown || g.now.Sub(g.storeRegainedAt) < relistGrace && !g.storeRegainedAt.IsZero() {
 		if !g.missing[id] {
 			g.count(CountChange, changeMissing)
-			g.log("upstream", "upstream missing", "upstream", id, "from", from, "store_down", g.storeDown)
+			g.log("upstream", "upstream missing", "upstream", id, "from", c.from, "store_down", g.storeDown)
 		}
 		g.missing[id] = true
 		g.upstreams.MarkUnlisted(id)
 		return
 	}
-	delta.Removed = append(delta.Removed, id)
-	g.deleteUpstream(id, from)
+	c.delta.Removed = append(c.delta.Removed, id)
+	g.deleteUpstream(id, c.from)
 }
 
 // deleteUpstream deletes all state of an upstream. from is the source of its removal, for the log.
