settings: the memory and the descriptors of the machine

The platform's settings name what a process may use of its machine; the node did not read it. Nothing uses them yet.

--- a/internal/run/settings/gateway.go
+++ b/internal/run/settings/gateway.go
@@ -19,6 +19,7 @@
 	Listen     GatewayListen    `toml:"listen"`
 	Platform   GatewayPlatform  `toml:"platform"`
 	Peers      Peers            `toml:"peers"`
+	Machine    GatewayMachine   `toml:"machine"`
 	Bounds     GatewayBounds    `toml:"bounds"`
 	Placement  GatewayPlacement `toml:"placement"`
 	// Duties lists the duties that the platform requires.
@@ -44,6 +45,14 @@
 	Cloud string `toml:"cloud"`
 }
 
+// GatewayMachine holds what the process may use of its machine.
+type GatewayMachine struct {
+	// Memory is the memory of the process.
+	Memory Size `toml:"memory"`
+	// Descriptors is the number of open files and connections of the process.
+	Descriptors int `toml:"descriptors"`
+}
+
 // GatewayBounds holds the limits that the operators set for the deployment.
 type GatewayBounds struct {
 	// Grace is the period from SIGTERM to the end of the process.
@@ -91,6 +100,13 @@
 	DutyFleet = "fleet"
 )
 
+const (
+	// minMemoryBytes is the memory that a node needs for itself, and some for callers.
+	minMemoryBytes = 64_000_000
+	// minDescriptors is the same for its connections.
+	minDescriptors = 64
+)
+
 // ParseGateway reads the settings file of a node on the users' platform and
 // returns all its problems.
 func ParseGateway(text string) (Gateway, []Problem) {
@@ -102,6 +118,7 @@
 
 func gatewayDefaults() *Gateway {
 	return &Gateway{
+		Machine: GatewayMachine{Memory: Size{Bytes: 512e6}, Descriptors: 4096},
 		Bounds: GatewayBounds{
 			Grace:       Duration{8 * time.Second},
 			Lease:       Duration{3 * time.Second},
@@ -128,6 +145,12 @@
 	c.address("platform.store", s.Platform.Store)
 	c.address("platform.cloud", s.Platform.Cloud)
 	c.checkSeeds(s.Peers)
+	if s.Machine.Memory.Bytes < minMemoryBytes {
+		c.report("machine.memory", "must be at least %dMB", minMemoryBytes/1_000_000)
+	}
+	if s.Machine.Descriptors < minDescriptors {
+		c.report("machine.descriptors", "must be at least %d", minDescriptors)
+	}
 	c.positiveDuration("bounds.grace", s.Bounds.Grace)
 	c.positiveDuration("bounds.lease", s.Bounds.Lease)
 	c.positiveDuration("bounds.usage_window", s.Bounds.UsageWindow)
--- a/internal/run/settings/settings_test.go
+++ b/internal/run/settings/settings_test.go
@@ -130,3 +130,23 @@
 		})
 	}
 }
+
+// TestMachine: a size has a unit, and too little memory or too few descriptors are a problem.
+func TestMachine(t *testing.T) {
+	for text, want := range map[string]GatewayMachine{
+		"":                                       {Memory: Size{Bytes: 512e6}, Descriptors: 4096},
+		"memory = \"160MB\"\ndescriptors = 4100": {Memory: Size{Bytes: 160e6}, Descriptors: 4100},
+		"memory = \"1.5GB\"":                     {Memory: Size{Bytes: 15e8}, Descriptors: 4096},
+	} {
+		s, _ := ParseGateway("[machine]\n" + text)
+		qt.Check(t, s.Machine, qt.Equals, want, qt.Commentf("%s", text))
+	}
+	for _, text := range []string{`memory = "160"`, `memory = "lots"`, `memory = "-1MB"`, `memory = "1e30GB"`, `memory = "8MB"`, `memory = 8`, `descriptors = 8`, `descriptors = "x"`} {
+		_, problems := ParseGateway("[machine]\n" + text)
+		found := false
+		for _, p := range problems {
+			found = found || p.Line == 2
+		}
+		qt.Check(t, found, qt.IsTrue, qt.Commentf("%s: %v", text, problems))
+	}
+}
