run/gateway: what callers take of the machine is bounded

Clients that do not behave ended a process: it ran out of memory (users' report). Cause: each request was bounded, their sum was not; bodies were read whole before anything was decided, for as long as the client stayed; heads of 64 KiB were parsed whatever the configuration says; and connections had no bound. A handler that reads no body waited for it with its connection. All listeners are bounded by what the settings say of the machine. Bodies take memory by their length first, or piece by piece, and must keep a least pace; long ones are refused by their heads where these rule them out. Answers are held only if there is room. The heap has a soft limit.

--- a/internal/core/gateway/effect.go
+++ b/internal/core/gateway/effect.go
@@ -319,6 +319,10 @@
 	ReasonBadRequest Reason = "bad_request"
 	// ReasonTooLarge: the body exceeds the configured limit.
 	ReasonTooLarge Reason = "too_large"
+	// ReasonNoMemory: the node has no memory for the body at the moment.
+	ReasonNoMemory Reason = "no_memory"
+	// ReasonSlowBody: the body arrived too slowly.
+	ReasonSlowBody Reason = "slow_body"
 )
 
 // Reasons lists all reasons, so that each has a counter from the start.
@@ -326,7 +330,7 @@
 	return []Reason{
 		ReasonNoConfig, ReasonNoRoute, ReasonBadKey, ReasonQuota, ReasonNoUpstream, ReasonEvacuated,
 		ReasonOverload, ReasonPaused, ReasonStopping, ReasonNotRun, ReasonTimeout, ReasonSuspect,
-		ReasonDeadlineExceeded, ReasonFailed, ReasonBadRequest, ReasonTooLarge,
+		ReasonDeadlineExceeded, ReasonFailed, ReasonBadRequest, ReasonTooLarge, ReasonNoMemory, ReasonSlowBody,
 	}
 }
 
--- a/internal/core/gateway/request.go
+++ b/internal/core/gateway/request.go
@@ -154,6 +154,18 @@
 	g.sendDueStatuses()
 }
 
+// CheckHead returns the reason for which a request would be refused by its head alone, empty if there
+// is none. It records nothing.
+func (g *Gateway) CheckHead(r Request) Reason {
+	if reason := g.match(&request{req: r}); reason != "" {
+		return reason
+	}
+	if g.refusing() {
+		return ReasonStopping
+	}
+	return ""
+}
+
 // match sets the request's route, team and service. It returns the reason to
 // refuse the request, empty if there is none.
 func (g *Gateway) match(r *request) Reason {
--- a/internal/run/gateway/answer.go
+++ b/internal/run/gateway/answer.go
@@ -1,15 +1,15 @@
 package gateway
 
 import (
-	"context"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 
 	"github.com/go-faster/errors"
 
 	core "monsoonlanding/internal/core/gateway"
+	"monsoonlanding/internal/core/memory"
+	"monsoonlanding/internal/wire/boundedtcp"
 	"monsoonlanding/internal/wire/http1"
 	"monsoonlanding/internal/wire/relayhttp"
 )
@@ -58,11 +58,11 @@
 	if answer.Length() > maxAnswerBytes {
 		return errors.Wrapf(errMalformed, "got an answer of %d bytes, expected at most %d", answer.Length(), maxAnswerBytes)
 	}
-	begin, err := io.ReadAll(io.LimitReader(answer, maxBufferedBytes+1))
+	begin, isWhole, err := h.readBegin(answer)
 	if err != nil {
 		return err
 	}
-	if len(begin) > maxBufferedBytes {
+	if !isWhole {
 		return h.relayLong(answer, begin)
 	}
 	h.setAnswer(answer, begin)
@@ -70,6 +70,24 @@
 	return nil
 }
 
+// readBegin reads an answer to its end, or as far as it is held in memory.
+func (h *handler) readBegin(answer *http1.Answer) (begin []byte, isWhole bool, err error) {
+	for _, limit := range []int64{memory.SmallBytes, maxBufferedBytes} {
+		if !h.answerLease.Grow(limit - h.answerLease.Size()) {
+			return begin, false, nil
+		}
+		more, err := io.ReadAll(io.LimitReader(answer, limit-int64(len(begin))+1))
+		if err != nil {
+			return nil, false, err
+		}
+		begin = append(begin, more...)
+		if int64(len(begin)) <= limit {
+			return begin, true, nil
+		}
+	}
+	return begin, false, nil
+}
+
 // relayLong relays an answer of which the begin has been read.
 func (h *handler) relayLong(answer *http1.Answer, begin []byte) error {
 	if length := answer.Length(); length >= 0 {
@@ -136,18 +154,10 @@
 	h.w.WriteHeader(status)
 }
 
-// connectionKey is the context key of a caller's connection.
-type connectionKey struct{}
-
-// withConnection returns a context that holds a caller's connection.
-func withConnection(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, connectionKey{}, conn)
-}
-
 // resetOnClose sets whether a close of the caller's connection resets it.
 func (h *handler) resetOnClose(on bool) {
-	conn, ok := h.r.Context().Value(connectionKey{}).(*net.TCPConn)
-	if !ok {
+	conn := boundedtcp.TCPOf(h.r.Context())
+	if conn == nil {
 		return
 	}
 	// 0 discards unsent data and resets; a negative value restores the default.
--- a/internal/run/gateway/handler.go
+++ b/internal/run/gateway/handler.go
@@ -2,13 +2,12 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/go-faster/errors"
 
 	core "monsoonlanding/internal/core/gateway"
+	"monsoonlanding/internal/core/memory"
 	"monsoonlanding/internal/wire/relayhttp"
 )
 
@@ -29,6 +28,8 @@
 	control *http.ResponseController
 	request core.Request
 	body    []byte
+	// bodyLease and answerLease are the memory of the body and of the answer that is held.
+	bodyLease, answerLease *memory.Lease
 	// relayed is set if another node has passed the request on.
 	relayed *core.Relayed
 	// lines buffers the request's log lines until the request ends; nil if they
@@ -56,13 +57,17 @@
 // serveRequest serves one request of a caller, which another node may have passed on.
 func (r *Runner) serveRequest(w http.ResponseWriter, req *http.Request, relayed *core.Relayed) {
 	h := &handler{
-		runner:  r,
-		relayed: relayed,
-		effects: make(chan core.Effect, maxQueuedEffects),
-		w:       w,
-		r:       req,
-		control: http.NewResponseController(w),
+		runner:      r,
+		relayed:     relayed,
+		effects:     make(chan core.Effect, maxQueuedEffects),
+		w:           w,
+		r:           req,
+		control:     http.NewResponseController(w),
+		bodyLease:   r.intake.budget.Lease(memory.Body),
+		answerLease: r.intake.budget.Lease(memory.Answer),
 	}
+	defer h.bodyLease.Release()
+	defer h.answerLease.Release()
 	if !h.read() {
 		return
 	}
@@ -72,8 +77,8 @@
 	r.removeHandler(h, disconnected)
 }
 
-// read reads the request's head and body. It answers an invalid request itself
-// and reports whether the request is valid.
+// read reads the request's head and body. It answers a request that is invalid or not read itself
+// and reports whether the request may be served.
 func (h *handler) read() bool {
 	request, err := h.runner.cfg.Protocol.DecodeRequest(h.r)
 	if err != nil {
@@ -81,24 +86,17 @@
 		return false
 	}
 	h.request = request
-	body, err := io.ReadAll(http.MaxBytesReader(h.w, h.r.Body, h.runner.bodyLimit()))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		h.refuseInvalid(http.StatusRequestEntityTooLarge, core.ReasonTooLarge, err)
-		return false
-	case err != nil:
-		h.refuseInvalid(http.StatusBadRequest, core.ReasonBadRequest, err)
+	if !h.readBody() {
 		return false
 	}
-	h.body = body
-	h.request.Fingerprint = fingerprint(h.r, h.request.Key, body)
+	h.request.Fingerprint = fingerprint(h.r, h.request.Key, h.body)
 	return true
 }
 
 // refuseInvalid answers a request that breaks the protocol or the size limit
 // and closes the connection.
 func (h *handler) refuseInvalid(status int, reason core.Reason, err error) {
+	abandonBody(h.control)
 	count(core.Count{Counter: core.CountRefusal, Label: string(reason)})
 	h.runner.log.Info().Str("step", "refuse").Str("request", h.request.ID).Int("status", status).Err(err).Msg(string(reason))
 	h.w.Header().Set("Connection", "close")
--- a/internal/run/gateway/relay.go
+++ b/internal/run/gateway/relay.go
@@ -6,6 +6,7 @@
 	"time"
 
 	core "monsoonlanding/internal/core/gateway"
+	"monsoonlanding/internal/wire/boundedtcp"
 	"monsoonlanding/internal/wire/http1"
 	"monsoonlanding/internal/wire/relayhttp"
 )
@@ -34,6 +35,9 @@
 func (r *Runner) serveRelayed(w http.ResponseWriter, req *http.Request) {
 	request, ok := relayhttp.Parse(req.Header, r.cfg.Settings.Peers.Token)
 	if !ok {
+		boundedtcp.ConnOf(req.Context()).HeadRead(req.Header)
+		abandonBody(http.NewResponseController(w))
+		w.Header().Set("Connection", "close")
 		r.log.Warn().Str("step", "relay").Str("from", req.RemoteAddr).Msg("request of another node rejected: token or attempts are invalid")
 		http.Error(w, "relay: request is invalid", http.StatusUnauthorized)
 		return
--- a/internal/run/gateway/runner.go
+++ b/internal/run/gateway/runner.go
@@ -80,6 +80,7 @@
 	peers     *peerws.Pool
 	servers   []*http.Server
 	listeners []net.Listener
+	intake    *intake
 }
 
 // New returns a Runner that listens on the node's addresses. Run serves them.
@@ -88,6 +89,7 @@
 	if err != nil {
 		return nil, err
 	}
+	r.intake.limitHeap()
 	if err := r.openServers(); err != nil {
 		r.cancel()
 		return nil, err
@@ -105,6 +107,7 @@
 		handlers: make(map[uint64]*handler),
 		drained:  make(chan struct{}),
 		relists:  make(map[core.FeedName]*relist),
+		intake:   newIntake(s.Machine, cfg.Log.With().Str("node", s.Name).Logger()),
 		pool:     http1.New(http1.Config{Clock: cfg.Clock, AnswerID: cfg.Protocol.AnswerID}),
 	}
 	for _, f := range cfg.Services.Feeds {
@@ -184,10 +187,10 @@
 	mux.Handle(peerws.Path, peerws.NewHandler(s.Name, s.Peers.Token, codec, r.receive, r.log))
 	r.servers = []*http.Server{
 		r.callerServer(),
-		{Handler: r.cfg.Protocol.Directory(r.directory), ReadHeaderTimeout: headerTimeout},
-		{Handler: r.cfg.Protocol.Readiness(r.ready), ReadHeaderTimeout: headerTimeout},
-		r.peerServer(mux),
-		{Handler: metricsHandler(), ReadHeaderTimeout: headerTimeout},
+		plainServer(r.cfg.Protocol.Directory(r.directory)),
+		plainServer(r.cfg.Protocol.Readiness(r.ready)),
+		r.peerServer(withoutBody(mux)),
+		plainServer(metricsHandler()),
 	}
 	errorLog := stdlog.New(r.log, "", 0)
 	for _, server := range r.servers {
@@ -198,13 +201,9 @@
 
 // callerServer returns the server for callers.
 func (r *Runner) callerServer() *http.Server {
-	return &http.Server{
-		Handler:           http.HandlerFunc(r.serveCaller),
-		ConnContext:       withConnection,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
+	s := &http.Server{Handler: http.HandlerFunc(r.serveCaller)}
+	boundServer(s)
+	return s
 }
 
 // metricsHandler serves the metrics as text and as JSON.
@@ -217,13 +216,13 @@
 
 // listen opens the listeners in the order of r.servers.
 func (r *Runner) listen(at settings.GatewayListen) error {
-	for _, address := range []string{at.Caller, at.Directory, at.Ready, at.Peer, at.Metrics} {
+	for i, address := range []string{at.Caller, at.Directory, at.Ready, at.Peer, at.Metrics} {
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			r.closeListeners()
 			return errors.Wrapf(err, "listen on %s", address)
 		}
-		r.listeners = append(r.listeners, l)
+		r.listeners = append(r.listeners, r.bound(l, i))
 	}
 	return nil
 }
--- a/internal/run/settings/gateway.go
+++ b/internal/run/settings/gateway.go
@@ -116,9 +116,14 @@
 	return *s, c.problems
 }
 
+// DefaultMachine returns what a process uses whose settings don't describe its machine.
+func DefaultMachine() GatewayMachine {
+	return GatewayMachine{Memory: Size{Bytes: 512_000_000}, Descriptors: 4096}
+}
+
 func gatewayDefaults() *Gateway {
 	return &Gateway{
-		Machine: GatewayMachine{Memory: Size{Bytes: 512e6}, Descriptors: 4096},
+		Machine: DefaultMachine(),
 		Bounds: GatewayBounds{
 			Grace:       Duration{8 * time.Second},
 			Lease:       Duration{3 * time.Second},
