gateway: a stopping node answers every request before it ends

A request that may run once ran and its caller got nothing. A stopping node refuses at once, as not run, what may run only once and could not be answered in time; 0.9 s before the end of the grace period it refuses what waits and ends what runs as at its deadline, so that its callers get an answer.

--- a/internal/core/gateway/event.go
+++ b/internal/core/gateway/event.go
@@ -272,7 +272,14 @@
 }
 
 // Stop requests a graceful shutdown.
-type Stop struct{}
+type Stop struct {
+	// Within is the time until all answers must have been given, 0 if it is not known.
+	Within time.Duration
+}
+
+// AnswersDue is submitted when all answers of a stopping node must be given now. What runs at
+// upstreams ends as at its deadline.
+type AnswersDue struct{}
 
 func (Tick) event()               {}
 func (Arrived) event()            {}
@@ -306,4 +313,5 @@
 func (FleetOrdered) event()       {}
 func (QuarantineRead) event()     {}
 func (QuarantineWritten) event()  {}
+func (AnswersDue) event()         {}
 func (Stop) event()               {}
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -187,7 +187,10 @@
 	logCapacitiesAt time.Time
 	stopping        bool
 	stoppingSince   time.Time
-	drained         bool
+	// answersUntil is when all answers of a stopping node must have been given, zero if it is not
+	// known.
+	answersUntil time.Time
+	drained      bool
 }
 
 // New returns a Gateway without configuration, upstreams and peers.
@@ -286,7 +289,9 @@
 	case PeerUnreachable:
 		g.peerUnreachable(e.Node)
 	case Stop:
-		g.stop()
+		g.stop(e)
+	case AnswersDue:
+		g.endWaiting()
 	default:
 		g.reducePlatform(e)
 	}
@@ -413,35 +418,3 @@
 
 // Limits returns the limits on callers' requests.
 func (g *Gateway) Limits() route.Limits { return g.table.Limits() }
-
-// refusalDelay is the duration after Stop in which new requests are still
-// served, because callers keep using a node's address for a few seconds.
-const refusalDelay = 3 * time.Second
-
-func (g *Gateway) stop() {
-	if g.stopping {
-		return
-	}
-	g.stopping = true
-	g.stoppingSince = g.now
-	g.log("stop", "stopping", "requests", len(g.requests))
-	g.scheduleBroadcast(0)
-	g.sendDueStatuses()
-}
-
-// refusing reports whether a stopping node refuses new requests.
-func (g *Gateway) refusing() bool {
-	return g.stopping && g.now.Sub(g.stoppingSince) > refusalDelay
-}
-
-func (g *Gateway) checkDrained() {
-	if !g.refusing() || g.drained || len(g.requests) > 0 || g.lease.Busy() {
-		return
-	}
-	if call, ok := g.lease.Release(g.now); ok {
-		g.emitStoreCall(call)
-		return
-	}
-	g.drained = true
-	g.emit(Drained{})
-}
--- a/internal/core/gateway/request.go
+++ b/internal/core/gateway/request.go
@@ -131,7 +131,7 @@
 		return
 	}
 	g.setDeadlines(r)
-	if g.refusing() {
+	if !g.canAnswer(r) {
 		g.refuseNew(r, ReasonStopping, 0)
 		return
 	}
--- a/internal/run/gateway/attempt.go
+++ b/internal/run/gateway/attempt.go
@@ -27,6 +27,7 @@
 	remaining := d.Deadline.Sub(startedAt)
 	attemptCtx, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
+	defer context.AfterFunc(h.runner.ending, cancel)()
 	_ = h.control.SetWriteDeadline(time.Now().Add(remaining + writeMargin))
 	ended := h.exchange(attemptCtx, d, remaining)
 	ended.Conn, ended.Attempt = h.conn, d.Attempt
--- a/internal/run/gateway/runner.go
+++ b/internal/run/gateway/runner.go
@@ -41,6 +41,8 @@
 	// stopMargin is the part of the grace period reserved for the process to
 	// exit.
 	stopMargin = 600 * time.Millisecond
+	// answerMargin is the time before that in which the last answers are written.
+	answerMargin = 300 * time.Millisecond
 )
 
 // Config is the configuration of a Runner.
@@ -60,7 +62,10 @@
 	log    zerolog.Logger
 	ctx    context.Context
 	cancel context.CancelFunc
-	group  conc.WaitGroup
+	// ending is done when a stopping node gives its last answers; endAttempts ends it.
+	ending      context.Context
+	endAttempts context.CancelFunc
+	group       conc.WaitGroup
 
 	// mu guards the fields up to sampler. It is held while an event is reduced
 	// and its effects are executed.
@@ -126,6 +131,7 @@
 		Learning:      s.Placement.Learn,
 	}, rand.New(rand.NewPCG(uint64(start), 0)))
 	r.ctx, r.cancel = context.WithCancel(context.Background())
+	r.ending, r.endAttempts = context.WithCancel(context.Background())
 	if follow := cfg.Services.FollowGeneration; follow != nil {
 		follow(r.storeGeneration, r.invalidGeneration)
 	}
@@ -273,8 +279,14 @@
 // Stop starts a graceful shutdown. Run returns when it is complete, at the
 // latest shortly before the grace period ends.
 func (r *Runner) Stop() {
-	r.submit(core.Stop{})
-	time.AfterFunc(r.cfg.Settings.Bounds.Grace.Duration-stopMargin, r.cancel)
+	end := r.cfg.Settings.Bounds.Grace.Duration - stopMargin
+	answers := max(end-answerMargin, 0)
+	r.submit(core.Stop{Within: answers})
+	time.AfterFunc(answers, func() {
+		r.submit(core.AnswersDue{})
+		r.endAttempts()
+	})
+	time.AfterFunc(end, r.cancel)
 }
 
 // Reload applies changed settings. Listen addresses do not change.
