--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -372,42 +372,6 @@
 	g.emit(Log{Step: step, Message: message, Inputs: inputs})
 }
 
-// pruneInterval is the interval between two removals of expired state.
-const pruneInterval = 5 * time.Second
-
-func (g *Gateway) tick() {
-	// A status is half an interval old on average.
-	g.upstreams.SetPeerLoadAge(g.interval()/2 + TickInterval)
-	g.relistAfterReturn()
-	g.removeMissing()
-	g.logColdChanges("time")
-	g.judge()
-	g.checkPaths()
-	g.refuseOverdue()
-	g.continueAfterPauses()
-	g.dispatchQueues()
-	g.checkRollouts()
-	g.chargeSilence()
-	g.sendDueStatuses()
-	g.fetchConfig()
-	g.performDuties()
-	g.syncQuarantine()
-	g.checkDrained()
-	g.logCapacities()
-	g.relistEvacuations()
-	if g.now.Before(g.pruneAt) {
-		return
-	}
-	g.pruneAt = g.now.Add(pruneInterval)
-	g.upstreams.Expire(g.now)
-	g.quarantine.Prune(g.now)
-	g.expireEvacuations()
-	g.pruneLeaves()
-	g.pruneDeparted()
-	g.changes.prune(g.now)
-	g.prunePaths()
-}
-
 // Ready reports whether the node accepts new callers.
 func (g *Gateway) Ready() bool {
 	return g.table.Version() > 0 && g.upstreamsRead && g.rolloutsRead && g.evacuationsKnown() && !g.stopping
--- a/internal/wire/boundedtcp/conn.go
+++ b/internal/wire/boundedtcp/conn.go
@@ -72,7 +72,7 @@
 	}
 	c.headBytes += n
 	switch {
-	case c.headBytes > c.listener.cfg.MaxHeadBytes()+readAhead:
+	case c.headBytes > readAhead && c.headBytes > c.listener.cfg.MaxHeadBytes()+readAhead:
 		return CauseHeadSize
 	case !c.head.Grow(int64(n) * bytesPerHeadByte):
 		return CauseHeadMemory
