run/gateway: the margins of a stop are parts of a short grace period

With a grace period of 4 s the node ended what ran 0.9 s before its end, earlier than the last sixth of it, in which work that goes on may be cut. The margins are at most an eighth and a 32nd of the grace period; with 8 s the answers are due 0.85 s before its end.

--- a/internal/run/gateway/runner.go
+++ b/internal/run/gateway/runner.go
@@ -43,6 +43,10 @@
 	stopMargin = 600 * time.Millisecond
 	// answerMargin is the time before that in which the last answers are written.
 	answerMargin = 300 * time.Millisecond
+	// maxStopPart and maxAnswerPart divide the grace period: the margins are at most that part of a
+	// short one.
+	maxStopPart   = 8
+	maxAnswerPart = 32
 )
 
 // Config is the configuration of a Runner.
@@ -279,8 +283,9 @@
 // Stop starts a graceful shutdown. Run returns when it is complete, at the
 // latest shortly before the grace period ends.
 func (r *Runner) Stop() {
-	end := r.cfg.Settings.Bounds.Grace.Duration - stopMargin
-	answers := max(end-answerMargin, 0)
+	grace := r.cfg.Settings.Bounds.Grace.Duration
+	end := grace - min(stopMargin, grace/maxStopPart)
+	answers := end - min(answerMargin, grace/maxAnswerPart)
 	r.submit(core.Stop{Within: answers})
 	time.AfterFunc(answers, func() {
 		r.submit(core.AnswersDue{})
