run/node: what clients take of the machine is bounded for serve too

The same cause as in the platform's gateway, found by reading: no bound on connections, on heads at the peers' and the operators' port (1 MB each), or on the sum of bodies that are being read. serve uses the bounded listener and a handler that takes memory for bodies before they are read. The body's pace is shared with run/gateway. Tests of the packages and of the cluster pass; no crowd was played against serve.

--- a/internal/run/gateway/body.go
+++ b/internal/run/gateway/body.go
@@ -15,9 +15,6 @@
 )
 
 const (
-	// bodyPace is the least number of bytes a second at which a body must arrive, after bodySlack.
-	bodyPace  = 16 << 10
-	bodySlack = 5 * time.Second
 	// firstPieceBytes is the memory taken first for a body of unknown length.
 	firstPieceBytes = 4 << 10
 	// busyRetryAfter is the time after which a caller may come back that was refused for lack of memory.
@@ -95,7 +92,7 @@
 			}
 			body = append(make([]byte, 0, larger), body...)[:larger]
 		}
-		h.extendBodyDeadline(begin, n)
+		boundedtcp.ExtendBody(h.control, h.runner.cfg.Clock.Now().Sub(begin), int64(n))
 		m, err := h.r.Body.Read(body[n:])
 		n += m
 		switch {
@@ -111,20 +108,10 @@
 	}
 }
 
-// extendBodyDeadline sets by when the next byte of a body must arrive.
-func (h *handler) extendBodyDeadline(begin time.Time, n int) {
-	allowed := bodySlack + time.Duration(float64(n)/bodyPace*float64(time.Second))
-	_ = h.control.SetReadDeadline(time.Now().Add(allowed - h.runner.cfg.Clock.Now().Sub(begin)))
-}
-
-// abandonBody lets the server close the connection without waiting for the rest of a body, which
-// net/http reads before it answers or closes.
-func abandonBody(control *http.ResponseController) { _ = control.SetReadDeadline(time.Now()) }
-
 // refuseUnread refuses a request whose body has not been read and closes the connection. The request
 // has not run.
 func (h *handler) refuseUnread(reason core.Reason, wait time.Duration) {
-	abandonBody(h.control)
+	boundedtcp.AbandonBody(h.control)
 	count(core.Count{Counter: core.CountRefusal, Label: string(reason)})
 	h.w.Header().Set("Connection", "close")
 	h.setOutcome(relayhttp.OutcomeRefused)
--- a/internal/run/gateway/handler.go
+++ b/internal/run/gateway/handler.go
@@ -8,6 +8,7 @@
 
 	core "monsoonlanding/internal/core/gateway"
 	"monsoonlanding/internal/core/memory"
+	"monsoonlanding/internal/wire/boundedtcp"
 	"monsoonlanding/internal/wire/relayhttp"
 )
 
@@ -96,7 +97,7 @@
 // refuseInvalid answers a request that breaks the protocol or the size limit
 // and closes the connection.
 func (h *handler) refuseInvalid(status int, reason core.Reason, err error) {
-	abandonBody(h.control)
+	boundedtcp.AbandonBody(h.control)
 	count(core.Count{Counter: core.CountRefusal, Label: string(reason)})
 	h.runner.log.Info().Str("step", "refuse").Str("request", h.request.ID).Int("status", status).Err(err).Msg(string(reason))
 	h.w.Header().Set("Connection", "close")
--- a/internal/run/gateway/intake.go
+++ b/internal/run/gateway/intake.go
@@ -156,7 +156,7 @@
 		conn.HeadRead(r.Header)
 		conn.RequestRead()
 		if r.ContentLength != 0 {
-			abandonBody(http.NewResponseController(w))
+			boundedtcp.AbandonBody(http.NewResponseController(w))
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
--- a/internal/run/gateway/relay.go
+++ b/internal/run/gateway/relay.go
@@ -36,7 +36,7 @@
 	request, ok := relayhttp.Parse(req.Header, r.cfg.Settings.Peers.Token)
 	if !ok {
 		boundedtcp.ConnOf(req.Context()).HeadRead(req.Header)
-		abandonBody(http.NewResponseController(w))
+		boundedtcp.AbandonBody(http.NewResponseController(w))
 		w.Header().Set("Connection", "close")
 		r.log.Warn().Str("step", "relay").Str("from", req.RemoteAddr).Msg("request of another node rejected: token or attempts are invalid")
 		http.Error(w, "relay: request is invalid", http.StatusUnauthorized)
--- a/internal/run/node/runner.go
+++ b/internal/run/node/runner.go
@@ -87,6 +87,7 @@
 	upstreams *upstreamhttp.Client
 	servers   []*http.Server
 	listeners []net.Listener
+	intake    intake
 
 	conns          *connections
 	attempts       attempts
@@ -111,6 +112,7 @@
 		events:  make(chan node.Event, eventQueueSize),
 		queries: make(chan func(*node.Node)),
 		log:     cfg.Log.With().Str("node", s.Name).Logger(),
+		intake:  newIntake(s.Limits),
 	}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	r.attempts.cancel = make(map[uint64]context.CancelFunc)
@@ -146,7 +148,7 @@
 // replaced by the port that the system assigns.
 func (r *Runner) listen(self *peer.Member) error {
 	s := r.cfg.Settings
-	for _, address := range []string{s.Listen.Caller, s.Listen.Peer, s.Listen.Operator} {
+	for i, address := range []string{s.Listen.Caller, s.Listen.Peer, s.Listen.Operator} {
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			for _, open := range r.listeners {
@@ -154,7 +156,11 @@
 			}
 			return errors.Wrapf(err, "listen on %s", address)
 		}
-		r.listeners = append(r.listeners, l)
+		conns := r.intake.conns
+		if i > 0 {
+			conns /= otherConnsDivisor
+		}
+		r.listeners = append(r.listeners, r.intake.bound(l, conns))
 	}
 	self.CallerAddress = r.listeners[0].Addr().String()
 	self.PeerAddress = r.listeners[1].Addr().String()
@@ -183,9 +189,9 @@
 	peerMux := http.NewServeMux()
 	peerMux.Handle(peerws.Path, peerws.NewHandler(r.self.ID, s.Peers.Token, codec, receive, r.log))
 	r.servers = []*http.Server{
-		r.callerHandler().Server(),
-		{Handler: peerMux, ReadHeaderTimeout: platformTimeout},
-		{Handler: r.operatorHandler().Routes(), ReadHeaderTimeout: platformTimeout},
+		r.intake.serve(r.callerHandler().Server()),
+		r.intake.serve(&http.Server{Handler: peerMux, ReadHeaderTimeout: platformTimeout}),
+		r.intake.serve(&http.Server{Handler: r.operatorHandler().Routes(), ReadHeaderTimeout: platformTimeout}),
 	}
 	return nil
 }
--- a/internal/run/settings/settings.go
+++ b/internal/run/settings/settings.go
@@ -59,6 +59,9 @@
 type Limits struct {
 	// MemoryBytes bounds the memory for requests and answers.
 	MemoryBytes int `toml:"memory_bytes"`
+	// Connections bounds the callers' connections, and those of peers and operators each to a
+	// quarter of it.
+	Connections int `toml:"connections"`
 	// Retention is the period for which an ended request is kept for callers
 	// that reconnect.
 	Retention Duration `toml:"retention"`
@@ -108,12 +111,16 @@
 	return *s, c.problems
 }
 
+// DefaultConnections is the default of Limits.Connections.
+const DefaultConnections = 4096
+
 func defaults() *Settings {
 	d := node.DefaultConfig(node.Config{}.Self, 0)
 	return &Settings{
 		Alone: d.Alone,
 		Limits: Limits{
 			MemoryBytes:    d.MemoryBytes,
+			Connections:    DefaultConnections,
 			Retention:      Duration{d.Retention},
 			ProgressTokens: d.ProgressTokens,
 			QueueCount:     d.QueueCount,
@@ -136,6 +143,7 @@
 	c.baseURL("platform.objects", s.Platform.Objects)
 	c.baseURL("platform.cloud", s.Platform.Cloud)
 	c.positive("limits.memory_bytes", s.Limits.MemoryBytes)
+	c.positive("limits.connections", s.Limits.Connections)
 	c.positive("limits.progress_tokens", s.Limits.ProgressTokens)
 	c.positive("limits.queue_count", s.Limits.QueueCount)
 	c.positive("limits.queue_bytes", s.Limits.QueueBytes)
