gateway: a list ends what was applied ahead of it

Entries of upstreams that this node never knew stayed among those applied ahead of a missed change, for the life of the process. A list that has been read covers all changes up to its revision.

--- a/internal/core/gateway/ahead.go
+++ b/internal/core/gateway/ahead.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"maps"
+
 	"monsoonlanding/internal/core/peer"
 	"monsoonlanding/internal/core/placement"
 	"monsoonlanding/internal/core/store"
@@ -24,6 +26,11 @@
 	return ok && revision.Before(a.revision)
 }
 
+// forgetAhead forgets what was applied ahead of a list that has been read.
+func (g *Gateway) forgetAhead(listed store.Revision) {
+	maps.DeleteFunc(g.ahead, func(_ string, a aheadChange) bool { return a.revision.Compare(listed) <= 0 })
+}
+
 // applyLeaves applies the leaves among the changes of a peer, before which another change was
 // missed.
 func (g *Gateway) applyLeaves(from string, d peer.UpstreamsDelta) {
--- a/internal/core/gateway/leave_news_test.go
+++ b/internal/core/gateway/leave_news_test.go
@@ -76,6 +76,7 @@
 	// Requests that wait go there at once.
 	effects := b.reduce(UpstreamsListed{List: []placement.Upstream{up("d1", "desk"), up("d2", "desk")}, Revision: store.Revision{Number: 8}})
 	b.Assert(sentTo(effects)["d1"] > 0, qt.IsTrue)
+	b.Assert(b.g.ahead, qt.HasLen, 0)
 }
 
 // TestMissedChangeIsSentAgain: a node that the store turned away never learned of a leave if the
--- a/internal/core/gateway/upstreams.go
+++ b/internal/core/gateway/upstreams.go
@@ -64,6 +64,7 @@
 			g.removeUpstream(u.ID, c)
 		}
 	}
+	g.forgetAhead(e.Revision)
 	g.moveLeavingRuns(c)
 	g.sendDelta(c.delta)
 	g.logColdChanges(sourceStore)
