gateway, run/gateway: a stopping node takes nothing after its last answers; wording

With a grace period shorter than the three seconds in which a stopping node serves, requests that may be repeated were dispatched after the time for the last answers and ended at once with 504. They are refused as not run. Comments and a name after a reading of the diff.

--- a/internal/core/gateway/resend.go
+++ b/internal/core/gateway/resend.go
@@ -30,6 +30,7 @@
 	since store.Revision
 }
 
+// record adds the changes of a read or of a peer.
 func (l *changeLog) record(now time.Time, d peer.UpstreamsDelta) {
 	for _, u := range d.Put {
 		l.latest[u.ID] = upstreamChange{revision: d.At(), learnedAt: now}
@@ -39,6 +40,7 @@
 	}
 }
 
+// prune removes the changes that are kept no longer.
 func (l *changeLog) prune(now time.Time) {
 	for id, c := range l.latest {
 		if now.Sub(c.learnedAt) > changeRetention {
--- a/internal/core/gateway/stop.go
+++ b/internal/core/gateway/stop.go
@@ -39,9 +39,12 @@
 	if g.refusing() {
 		return false
 	}
-	if g.answersUntil.IsZero() || r.route.Retryable() {
+	if g.answersUntil.IsZero() {
 		return true
 	}
+	if r.route.Retryable() {
+		return g.now.Before(g.answersUntil)
+	}
 	end := r.deadline
 	if r.route.Kind == route.KindStreaming {
 		tokens := min(outputHintFactor*r.req.Prompt.ExpectedOutput(), r.req.Prompt.MaxOutputTokens)
--- a/internal/core/gateway/stop_test.go
+++ b/internal/core/gateway/stop_test.go
@@ -21,6 +21,7 @@
 		{"runs once, its time fits", "/book/1", 0, time.Second, true},
 		{"runs once, its time does not fit", "/book/1", 0, 2500 * time.Millisecond, false},
 		{"may be repeated", "/read/1", 0, 2500 * time.Millisecond, true},
+		{"may be repeated, after the last answers", "/read/1", 0, 3 * time.Second, false},
 		{"short stream that runs once", "/plan/1", 50, 500 * time.Millisecond, true},
 		{"long stream that runs once", "/plan/1", 500, 500 * time.Millisecond, false},
 		{"long stream that resumes elsewhere", "/ask/1", 500, 2500 * time.Millisecond, true},
--- a/internal/core/gateway/upstreams.go
+++ b/internal/core/gateway/upstreams.go
@@ -211,8 +211,9 @@
 	}
 }
 
-// removeUpstream removes an upstream that the store does not list, as part of a change. While the store is lost or has just come back, entries of running upstreams may be
-// missing temporarily, so the upstream is only marked as missing.
+// removeUpstream removes an upstream that the store does not list, as part of a change. While
+// the store is lost or has just come back, entries of running upstreams may be missing
+// temporarily, so the upstream is only marked as missing.
 func (g *Gateway) removeUpstream(id string, c *listChange) {
 	if _, known := g.upstreams.Get(id); !known || g.isAhead(id, c.revision) {
 		return
--- a/internal/run/gateway/intake.go
+++ b/internal/run/gateway/intake.go
@@ -110,12 +110,12 @@
 
 // bound returns a listener that bounds the connections of a server, by its place in Runner.servers.
 func (r *Runner) bound(l net.Listener, server int) net.Listener {
-	most := r.intake.descriptors * descriptorShares[server] / descriptorShareUnit
+	maxConns := r.intake.descriptors * descriptorShares[server] / descriptorShareUnit
 	if server == callerServerIndex {
-		most = min(most, r.intake.maxCallers)
+		maxConns = min(maxConns, r.intake.maxCallers)
 	}
 	return boundedtcp.New(l, boundedtcp.Config{
-		MaxConns:     max(most, 1),
+		MaxConns:     max(maxConns, 1),
 		Heads:        r.intake.budget,
 		MaxHeadBytes: r.headLimit,
 		OnClose:      func(cause boundedtcp.Cause) { r.intake.turnAway(r.cfg.Clock.Now(), string(cause)) },
