--- a/review/rig-2/client.go
+++ b/review/rig-2/client.go
@@ -18,23 +18,24 @@
 
 const (
 	host   = "app.example"
-	prefix = "/desk/"
 	apiKey = "k1a2b3c4"
 	tenant = "hule930"
+	// The routes: bookings are unsafe, reads safe.
+	bookPrefix = "/book/"
+	readPrefix = "/read/"
 )
 
-// configuration is the operator's configuration: one route of one service.
-func configuration(kind string, timeout time.Duration) map[string]any {
-	attempts := 1
-	if kind == "safe" {
-		attempts = 2
+// configuration is the operator's configuration: two routes of one service.
+func configuration(timeout time.Duration) map[string]any {
+	route := func(name, prefix, kind string, attempts int) map[string]any {
+		return map[string]any{
+			"name": name, "hostname": host, "path_prefix": prefix, "type": kind, "timeout_ms": timeout.Milliseconds(),
+			"goal_ms": 3000, "priority": 1, "service": "desk", "attempts": attempts, "public": false, "can_resume": false,
+		}
 	}
 	return map[string]any{
-		"version": 7,
-		"routes": []any{map[string]any{
-			"name": "r-desk", "hostname": host, "path_prefix": prefix, "type": kind, "timeout_ms": timeout.Milliseconds(),
-			"goal_ms": 3000, "priority": 1, "service": "desk", "attempts": attempts, "public": false, "can_resume": false,
-		}},
+		"version":  7,
+		"routes":   []any{route("r-book", bookPrefix, "unsafe", 1), route("r-read", readPrefix, "safe", 2)},
 		"services": []any{map[string]any{"name": "desk", "health_path": "/healthz", "max_conns": 96, "protocol": "h1", "tls": false}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants": []any{map[string]any{
@@ -45,7 +46,7 @@
 
 // sent is a request of a client and how it ended.
 type sent struct {
-	id, node string
+	id, node, prefix string
 	// written is when its last byte was sent, zero if it was not sent whole.
 	written time.Time
 	ended   time.Time
@@ -60,9 +61,9 @@
 // requestNumber numbers the requests of the process.
 var requestNumber atomic.Int64
 
-// send sends a request to a node and records how it ends.
-func (r *rig) send(c *http.Client, n *node, deadline time.Duration) sent {
-	s := sent{id: fmt.Sprintf("%08x%08x", rand.Uint32(), requestNumber.Add(1)), node: n.name}
+// send sends a request on a route to a node and records how it ends.
+func (r *rig) send(c *http.Client, n *node, prefix string, deadline time.Duration) sent {
+	s := sent{id: fmt.Sprintf("%08x%08x", rand.Uint32(), requestNumber.Add(1)), node: n.name, prefix: prefix}
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
 	var mu sync.Mutex
@@ -73,7 +74,7 @@
 			s.written = time.Now()
 		}
 	}})
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.address(portFront)+prefix+"book", bytes.NewReader([]byte("one seat")))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.address(portFront)+prefix+"2f", bytes.NewReader([]byte("one seat")))
 	if err != nil {
 		panic(err)
 	}
--- a/review/rig-2/drill.go
+++ b/review/rig-2/drill.go
@@ -34,7 +34,7 @@
 // time, and reports whether the platform has accepted two usage reports for one window with
 // different counts.
 func runDrill(r *rig) (bool, error) {
-	r.store.operate("config", "main", configuration("unsafe", 4*time.Second))
+	r.store.operate("config", "main", configuration(4*time.Second))
 	if _, err := r.startReplicas("desk", 4, 20*time.Millisecond); err != nil {
 		return false, err
 	}
@@ -148,7 +148,7 @@
 			}
 		}
 		if len(named) > 0 {
-			r.send(client, named[rand.IntN(len(named))], 1500*time.Millisecond)
+			r.send(client, named[rand.IntN(len(named))], bookPrefix, 1500*time.Millisecond)
 		}
 	}
 }
--- a/review/rig-2/extra.go
+++ b/review/rig-2/extra.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -14,7 +15,7 @@
 	episodeTime     = 5 * time.Second
 	episodeInterval = 8 * time.Second
 	extraEpisodes   = 4
-	extraClients    = 12
+	extraClients    = 30
 	extraReplicas   = 5
 	readDeadline    = 1500 * time.Millisecond
 )
@@ -22,9 +23,10 @@
 func init() { cases["extra"] = runExtra }
 
 // runExtra lets replicas send additional bytes after some of their answers, and reports whether a
-// client got a success where the replica had answered with a failure.
+// client got a success where the replica had answered with a failure, or a failure with a seal and
+// another status than the replica gave.
 func runExtra(r *rig) (bool, error) {
-	r.store.operate("config", "main", configuration("safe", readDeadline))
+	r.store.operate("config", "main", configuration(readDeadline))
 	replicas, err := r.startFaultyReplicas("desk", extraReplicas)
 	if err != nil {
 		return false, err
@@ -40,11 +42,12 @@
 		group.Go(func() {
 			client := newClient()
 			for open(done) {
-				s := r.send(client, r.nodes[rand.IntN(len(r.nodes))], readDeadline)
+				prefix := []string{bookPrefix, readPrefix}[rand.IntN(2)]
+				s := r.send(client, r.nodes[rand.IntN(len(r.nodes))], prefix, readDeadline)
 				mu.Lock()
 				all = append(all, s)
 				mu.Unlock()
-				time.Sleep(rand.N(60 * time.Millisecond))
+				time.Sleep(rand.N(100 * time.Millisecond))
 			}
 		})
 	}
@@ -64,30 +67,42 @@
 	return r.countMixed(all, replicas) > 0, nil
 }
 
-// countMixed counts the successes of clients that no replica gave.
+// countMixed counts the answers of clients with another status than the replicas gave.
 func (r *rig) countMixed(all []sent, replicas []*faultyReplica) int {
-	mixed, strays, served := 0, 0, 0
+	strays, full, successes, failures, refused := 0, 0, 0, 0, 0
 	for _, p := range replicas {
 		strays += p.strays
 	}
 	for _, s := range all {
-		if s.status/100 != 2 {
-			continue
-		}
-		served++
-		given := false
 		var statuses []int
+		ran := false
 		for _, p := range replicas {
-			statuses = append(statuses, p.statusesOf(s.id)...)
+			list, ranThere := p.statusesOf(s.id)
+			statuses, ran = append(statuses, list...), ran || ranThere
+		}
+		if slices.Contains(statuses, http.StatusServiceUnavailable) {
+			full++
 		}
-		for _, status := range statuses {
-			given = given || status == http.StatusOK
+		if slices.Contains(statuses, s.status) || s.broken || s.status == 0 {
+			continue
+		}
+		switch {
+		case s.status/100 == 2:
+			successes++
+		case s.sealed:
+			failures++
+		default:
+			// It is the system's own answer.
+			continue
 		}
-		if !given {
-			mixed++
-			r.record("broken: %s got %d from %s, sealed %t, body %q; the replicas answered it with %v", s.id, s.status, s.node, s.sealed, s.body, statuses)
+		promise := ""
+		if s.prefix == bookPrefix && ran && s.status == http.StatusServiceUnavailable {
+			refused++
+			promise = "; a booking that has run is said not to have run (REFUSED)"
 		}
+		r.record("broken: %s%s got %d from %s, sealed %t, body %q; the replicas answered it with %v%s", s.prefix, s.id, s.status, s.node, s.sealed, s.body, statuses, promise)
 	}
-	r.record("requests: %d, successes: %d, follow-ups: %d, successes that no replica gave: %d", len(all), served, strays, mixed)
-	return mixed
+	r.record("requests: %d, of which replicas were full for: %d, follow-ups: %d", len(all), full, strays)
+	r.record("successes that no replica gave: %d, sealed failures that none gave: %d, of these bookings that have run, with 503: %d", successes, failures, refused)
+	return successes + failures
 }
--- a/review/rig-2/faulty.go
+++ b/review/rig-2/faulty.go
@@ -14,12 +14,14 @@
 )
 
 const (
-	// errorShare is the share of requests that a replica of the reads fails with 500, as on the
-	// sites.
+	// errorShare is the share of reads that a replica fails with 500, as on the sites.
 	errorShare = 0.14
 	// spoiledShare is the share of answers that a faulty replica follows up with additional bytes.
 	spoiledShare = 0.03
-	readWork     = 5 * time.Millisecond
+	// A replica runs up to faultySlots requests at a time and queues as many as faultyQueue.
+	faultySlots = 3
+	faultyQueue = 1
+	faultyWork  = 12 * time.Millisecond
 )
 
 // faultyReplica stands in for a replica that sends additional bytes after some of its answers: the
@@ -31,9 +33,13 @@
 	mu sync.Mutex
 	// spoils is set while the replica is faulty.
 	spoils bool
-	// statuses holds the replica's own status for each request, by its ID.
+	// statuses holds the replica's own status for each request, by its ID; ran holds those that
+	// have run.
 	statuses map[string][]int
+	ran      map[string]bool
 	strays   int
+	present  int
+	slots    chan struct{}
 }
 
 func (r *rig) startFaultyReplicas(service string, count int) ([]*faultyReplica, error) {
@@ -45,10 +51,11 @@
 		}
 		p := &faultyReplica{
 			id: fmt.Sprintf("i-%s-%d", service, i+1), service: service, address: l.Addr().String(),
-			zone: fmt.Sprintf("zone-%c", 'a'+i%3), record: r.record, statuses: make(map[string][]int),
+			zone: fmt.Sprintf("zone-%c", 'a'+i%3), record: r.record, statuses: make(map[string][]int), ran: make(map[string]bool),
+			slots: make(chan struct{}, faultySlots),
 		}
 		go p.accept(l)
-		go (&replica{id: p.id, service: service, address: p.address, zone: p.zone}).register(r.store)
+		go (&replica{id: p.id, service: service, address: p.address, zone: p.zone, slots: faultySlots}).register(r.store)
 		list = append(list, p)
 	}
 	return list, nil
@@ -60,11 +67,39 @@
 	p.spoils = on
 }
 
-// statusesOf returns the statuses with which the replica has answered a request.
-func (p *faultyReplica) statusesOf(id string) []int {
+// statusesOf returns the statuses with which the replica has answered a request, and whether it has
+// run it.
+func (p *faultyReplica) statusesOf(id string) (statuses []int, ran bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.statuses[id]
+	return p.statuses[id], p.ran[id]
+}
+
+// enter counts a request that has arrived and reports whether there is room for it.
+func (p *faultyReplica) enter() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.present >= faultySlots+faultyQueue {
+		return false
+	}
+	p.present++
+	return true
+}
+
+func (p *faultyReplica) leave() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.present--
+}
+
+// work runs a request in a slot.
+func (p *faultyReplica) work(id string) {
+	p.slots <- struct{}{}
+	p.mu.Lock()
+	p.ran[id] = true
+	p.mu.Unlock()
+	time.Sleep(faultyWork)
+	<-p.slots
 }
 
 func (p *faultyReplica) accept(l net.Listener) {
@@ -93,7 +128,6 @@
 		if err != nil {
 			return
 		}
-		time.Sleep(readWork)
 		status, answer := p.answer(r, body)
 		if late != "" {
 			p.record("replica %s: additional bytes %q after the answer to %s", p.id, late, before)
@@ -123,19 +157,26 @@
 	return true
 }
 
-// answer returns the replica's own answer to a request.
+// answer runs a request and returns the replica's own answer to it.
 func (p *faultyReplica) answer(r *http.Request, body []byte) (int, string) {
 	id := r.Header.Get("Attempt-Id")
-	status, content := http.StatusOK, "record of "+id+" "+string(bytes.ToUpper(body))
-	switch expected := r.Header.Get("Expect-Replica"); {
+	status, extra, content := http.StatusOK, "Replica-Seal: seal."+id+"\r\n", "record of "+id+" "+string(bytes.ToUpper(body))
+	expected := r.Header.Get("Expect-Replica")
+	switch {
 	case expected != "" && expected != p.id:
-		status, content = http.StatusMisdirectedRequest, ""
-	case rand.Float64() < errorShare:
-		status, content = http.StatusInternalServerError, "failed: "+id
+		status, extra, content = http.StatusMisdirectedRequest, "", ""
+	case !p.enter():
+		status, extra, content = http.StatusServiceUnavailable, "Not-Run: 1\r\n", "full"
+	default:
+		p.work(id)
+		p.leave()
+		if strings.HasPrefix(r.URL.Path, readPrefix) && rand.Float64() < errorShare {
+			status, content = http.StatusInternalServerError, "failed: "+id
+		}
 	}
 	p.mu.Lock()
 	p.statuses[id] = append(p.statuses[id], status)
 	p.mu.Unlock()
-	return status, fmt.Sprintf("HTTP/1.1 %d %s\r\nAttempt-Id: %s\r\nReplica-Seal: seal.%s\r\nReplica-Id: %s\r\nContent-Length: %d\r\n\r\n%s",
-		status, http.StatusText(status), id, id, p.id, len(content), content)
+	return status, fmt.Sprintf("HTTP/1.1 %d %s\r\nAttempt-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s",
+		status, http.StatusText(status), id, extra, len(content), content)
 }
--- a/review/rig-2/replica.go
+++ b/review/rig-2/replica.go
@@ -57,6 +57,8 @@
 	work                       time.Duration
 	record                     func(string, ...any)
 	runs                       *runs
+	// slots is the number that its entry names, replicaSlots if it is 0.
+	slots int
 
 	mu      sync.Mutex
 	running int
@@ -82,9 +84,13 @@
 
 func (p *replica) register(s *store) {
 	born := time.Now().UnixMilli()
+	slots := p.slots
+	if slots == 0 {
+		slots = replicaSlots
+	}
 	for seq := 1; ; seq++ {
 		spec, _ := json.Marshal(map[string]any{
-			"service": p.service, "addr": p.address, "zone": p.zone, "version": "v1", "slots": replicaSlots,
+			"service": p.service, "addr": p.address, "zone": p.zone, "version": "v1", "slots": slots,
 			"state": "ready", "cold_left_ms": 0, "seq": seq, "born": born,
 		})
 		s.write("servers", p.id, spec)
--- a/review/rig-2/stop.go
+++ b/review/rig-2/stop.go
@@ -24,7 +24,7 @@
 // runStop sends a node that is being stopped SIGTERM once more, and reports whether requests that it
 // had read ended without an answer. Without the disruption it is sent one SIGTERM.
 func runStop(r *rig) (bool, error) {
-	r.store.operate("config", "main", configuration("unsafe", stopDeadline))
+	r.store.operate("config", "main", configuration(stopDeadline))
 	ran, err := r.startReplicas("desk", 4, stopWork)
 	if err != nil {
 		return false, err
@@ -42,7 +42,7 @@
 			time.Sleep(time.Duration(i) * stopWork / stopClients)
 			client := newClient()
 			for open(done) {
-				s := r.send(client, stopped, stopDeadline)
+				s := r.send(client, stopped, bookPrefix, stopDeadline)
 				mu.Lock()
 				all = append(all, s)
 				mu.Unlock()
