--- a/review/rig-2/drill.go
+++ b/review/rig-2/drill.go
@@ -15,7 +15,7 @@
 	// awayTime is the time for which the store is away in the drill.
 	awayTime = 500 * time.Millisecond
 	// restartDelay is the time after which killed processes are started again.
-	restartDelay = time.Second
+	restartDelay = 500 * time.Millisecond
 	// reportsBefore is the number of reports that the platform accepts before the drill.
 	reportsBefore = 3
 	// watchTime is the time for which reports are collected after the drill.
--- a/review/rig-2/extra.go
+++ b/review/rig-2/extra.go
@@ -106,3 +106,12 @@
 	r.record("successes that no replica gave: %d, sealed failures that none gave: %d, of these bookings that have run, with 503: %d", successes, failures, refused)
 	return successes + failures
 }
+
+func open(done <-chan struct{}) bool {
+	select {
+	case <-done:
+		return false
+	default:
+		return true
+	}
+}
