review: show streams without an end after a spoiled answer during a move

A script plays replaced model replicas, of whose answers under one in 100 are spoiled or broken off; three gateways as processes, real clock.

Five runs of five failed, with 9 to 12 streams of about 2,800 that had no final answer half a second after their route's timeout, and all that were unanswered at the timeout; the run without spoiled answers passed.

--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -34,6 +34,9 @@
 	// notRun holds the requests that were answered with a status that promises that they have not run.
 	notRun   map[string]int
 	statuses map[string]int
+	// sent and final hold when streams were sent and how long their final answers took.
+	sent  map[string]time.Time
+	final map[string]time.Duration
 }
 
 func (r *rig) record(format string, args ...any) {
@@ -141,6 +144,7 @@
 	r := &rig{
 		dir: dir, binary: absolute, port: 20000 + os.Getpid()%80*150, started: time.Now(), trouble: os.Getenv("TROUBLE") != "0",
 		history: make(map[string][]string), runs: make(map[string]int), notRun: make(map[string]int), statuses: make(map[string]int),
+		sent: make(map[string]time.Time), final: make(map[string]time.Duration),
 	}
 	r.store = newStore(r.record)
 	code := 2
@@ -176,4 +180,4 @@
 }
 
 // cases holds the cases by name.
-var cases = map[string]func(*rig) (int, error){"storm": storm}
+var cases = map[string]func(*rig) (int, error){"storm": storm, "moves": moves}
