--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -11,10 +11,12 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sort"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -147,6 +149,13 @@
 		sent: make(map[string]time.Time), final: make(map[string]time.Duration),
 	}
 	r.store = newStore(r.record)
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stopped
+		r.stopNodes()
+		os.Exit(2)
+	}()
 	code := 2
 	if play := cases[*name]; play != nil {
 		code = r.play(play)
--- a/review/rig-3/moves.go
+++ b/review/rig-3/moves.go
@@ -155,7 +155,9 @@
 	if err := r.startNodes(3); err != nil {
 		return 2, err
 	}
-	time.Sleep(4 * time.Second)
+	if err := r.awaitReady(); err != nil {
+		return 2, err
+	}
 	begin := time.Now()
 	go func() {
 		for n := 0; time.Since(begin) < movesLength-releaseEvery; n++ {
@@ -252,8 +254,12 @@
 	}
 	fmt.Println("streams:", len(r.sent), "answers of replicas:", f.answers, "broken off or spoiled:", f.wrong,
 		"unanswered at the timeout:", atTimeout, "and half a second later:", late)
-	if late >= 8 && 2*late > atTimeout {
+	switch {
+	case f.answers == 0:
+		return 2
+	case late >= 8 && 2*late > atTimeout:
 		return 1
+	default:
+		return 0
 	}
-	return 0
 }
--- a/review/rig-3/nodes.go
+++ b/review/rig-3/nodes.go
@@ -100,6 +100,19 @@
 	return nil
 }
 
+// awaitReady waits until the gateways serve. It fails if one of them has ended.
+func (r *rig) awaitReady() error {
+	time.Sleep(4 * time.Second)
+	for _, n := range r.nodes {
+		select {
+		case <-n.done:
+			return fmt.Errorf("%s has ended", n.name)
+		default:
+		}
+	}
+	return nil
+}
+
 // stopNodes ends the processes that this program has started.
 func (r *rig) stopNodes() {
 	for _, n := range r.nodes {
--- a/review/rig-3/storm.go
+++ b/review/rig-3/storm.go
@@ -45,7 +45,9 @@
 	if err := r.startNodes(6); err != nil {
 		return 2, err
 	}
-	time.Sleep(4 * time.Second)
+	if err := r.awaitReady(); err != nil {
+		return 2, err
+	}
 	begin := time.Now()
 	go func() {
 		for r.trouble && time.Since(begin) < playLength {
@@ -139,8 +141,12 @@
 		}
 	}
 	fmt.Println("answers:", r.statuses, "requests that ran:", len(r.runs), "ran twice:", twice, "refused though run:", refused)
-	if twice+refused > 0 {
+	switch {
+	case twice+refused > 0:
 		return 1
+	case r.statuses["200"] == 0:
+		return 2
+	default:
+		return 0
 	}
-	return 0
 }
