--- a/review/rig-3/engine.go
+++ b/review/rig-3/engine.go
@@ -22,6 +22,7 @@
 type engine struct {
 	fleet   *fleet
 	id      string
+	number  int
 	address string
 
 	mu   sync.Mutex
@@ -66,7 +67,7 @@
 		return
 	}
 	e.fleet.rig.ran(id, fmt.Sprintf("%s from event %d", e.id, last+1))
-	e.fleet.answered()
+	e.fleet.answered(e.number)
 	x := &run{stop: make(chan struct{}), spoil: make(chan struct{}), ended: make(chan struct{}), made: last}
 	e.mu.Lock()
 	e.runs[id] = x
@@ -77,7 +78,7 @@
 		defer e.mu.Unlock()
 		delete(e.runs, id)
 	}()
-	breakAfter := e.fleet.breakAfter(id)
+	breakAfter := e.fleet.breakAfter(id, e.number)
 	w.Header().Set("Replica-Seal", e.id+"."+id)
 	w.Header().Set("Content-Type", "text/event-stream")
 	for n := last + 1; n <= eventCount; n++ {
@@ -132,7 +133,7 @@
 		return
 	}
 	e.fleet.rig.saw(call.ID, "move from "+e.id+" asked for")
-	if e.fleet.maySpoil(call.ID) {
+	if e.fleet.maySpoil(call.ID, e.number) {
 		time.Sleep(moveQueue / 3)
 		close(x.spoil)
 	}
--- a/review/rig-3/moves.go
+++ b/review/rig-3/moves.go
@@ -15,10 +15,16 @@
 	movesLength  = 95 * time.Second
 	releaseEvery = 5 * time.Second
 	// streamsPerSecond is the rate of streams.
-	streamsPerSecond = 30
-	// wrongShare is the share of all answers that are broken off or spoiled at most: the share of the
-	// replicas times that of their answers.
-	wrongShare = 0.5 * 0.02
+	streamsPerSecond = 120
+	// engineCount is the number of replicas.
+	engineCount = 8
+	// For wrongFor out of each wrongEvery, from wrongAfter on, faultyShare of the replicas break off or
+	// spoil wrongShare of their answers at most.
+	wrongEvery  = 10 * time.Second
+	wrongAfter  = 500 * time.Millisecond
+	wrongFor    = 5 * time.Second
+	faultyShare = 0.5
+	wrongShare  = 0.02
 	// routeTimeout is the route's timeout_ms and the clients' deadline.
 	routeTimeout = 3 * time.Second
 	// longestGap is after what pause clients leave: eight times the route's longest pause.
@@ -33,30 +39,52 @@
 	engines map[string]*engine
 	answers int
 	wrong   int
+	// answersIn and wrongIn count the answers of the faulty replicas, by the time in which some go wrong.
+	answersIn, wrongIn map[int]int
+	// begin is when clients begin.
+	begin time.Time
 	// spoiled holds the requests whose first answer was spoiled.
 	spoiled map[string]bool
 }
 
-func (f *fleet) answered() {
+func (f *fleet) answered(number int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.answers++
+	if w := f.window(); w > 0 && isFaulty(number) {
+		f.answersIn[w]++
+	}
+}
+
+// isFaulty reports whether a replica is one of those that are faulty: every other one.
+func isFaulty(number int) bool { return number%2 == 1 }
+
+// window returns the number of the time in which answers go wrong now, 0 if it is none.
+func (f *fleet) window() int {
+	since := time.Since(f.begin) - wrongAfter
+	if !f.rig.trouble || f.begin.IsZero() || since < 0 || since%wrongEvery >= wrongFor {
+		return 0
+	}
+	return 1 + int(since/wrongEvery)
 }
 
-// takeWrong reports whether one more answer may be broken off or spoiled. Room for a second one is left.
-func (f *fleet) takeWrong(further int) bool {
-	if !f.rig.trouble || float64(f.wrong+1+further) > wrongShare*float64(f.answers) {
+// takeWrong reports whether one more answer of a replica may go wrong, and leaves room for further ones:
+// of the answers of the faulty replicas in this time, wrongShare may.
+func (f *fleet) takeWrong(number, further int) bool {
+	w := f.window()
+	if w == 0 || !isFaulty(number) || float64(f.wrongIn[w]+1+further) > wrongShare*float64(f.answersIn[w]) {
 		return false
 	}
 	f.wrong++
+	f.wrongIn[w]++
 	return true
 }
 
 // maySpoil reports whether the answer to a request is spoiled.
-func (f *fleet) maySpoil(id string) bool {
+func (f *fleet) maySpoil(id string, number int) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.takeWrong(1) {
+	if !f.takeWrong(number, 1) {
 		return false
 	}
 	f.spoiled[id] = true
@@ -64,10 +92,10 @@
 }
 
 // breakAfter returns the number of events behind which an answer is broken off, 0 for none.
-func (f *fleet) breakAfter(id string) int {
+func (f *fleet) breakAfter(id string, number int) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.spoiled[id] || !f.takeWrong(0) {
+	if !f.spoiled[id] || !f.takeWrong(number, 0) {
 		return 0
 	}
 	return 1
@@ -85,8 +113,9 @@
 }
 
 // start starts an engine and returns a function that lets it drain and leave.
-func (f *fleet) start(id string) (leave func(), err error) {
-	e := &engine{fleet: f, id: id, runs: make(map[string]*run), copies: make(map[string]int)}
+func (f *fleet) start(number int) (leave func(), err error) {
+	id := fmt.Sprintf("i-%d", number)
+	e := &engine{fleet: f, id: id, number: number, runs: make(map[string]*run), copies: make(map[string]int)}
 	if e.address, err = f.rig.serve(e); err != nil {
 		return nil, err
 	}
@@ -142,10 +171,10 @@
 
 // moves plays the replacement of engines, one after the other, while some answers are spoiled.
 func moves(r *rig) (int, error) {
-	f := &fleet{rig: r, engines: make(map[string]*engine), spoiled: make(map[string]bool)}
+	f := &fleet{rig: r, engines: make(map[string]*engine), spoiled: make(map[string]bool), answersIn: make(map[int]int), wrongIn: make(map[int]int)}
 	var leaves []func()
-	for i := range 4 {
-		leave, err := f.start(fmt.Sprintf("i-%d", i+1))
+	for i := range engineCount {
+		leave, err := f.start(i + 1)
 		if err != nil {
 			return 2, err
 		}
@@ -159,10 +188,13 @@
 		return 2, err
 	}
 	begin := time.Now()
+	f.mu.Lock()
+	f.begin = begin
+	f.mu.Unlock()
 	go func() {
 		for n := 0; time.Since(begin) < movesLength-releaseEvery; n++ {
 			time.Sleep(releaseEvery)
-			leave, err := f.start(fmt.Sprintf("i-%d", n+5))
+			leave, err := f.start(n + engineCount + 1)
 			if err != nil {
 				return
 			}
@@ -252,7 +284,7 @@
 			fmt.Println("NO ANSWER", id, r.history[id])
 		}
 	}
-	fmt.Println("streams:", len(r.sent), "answers of replicas:", f.answers, "broken off or spoiled:", f.wrong,
+	fmt.Println("streams:", len(r.sent), "answers of replicas:", f.answers, "broken off or spoiled:", f.wrong, "by time:", f.wrongIn, "of", f.answersIn,
 		"unanswered at the timeout:", atTimeout, "and half a second later:", late)
 	switch {
 	case f.answers == 0:
