leader: leave out windows whose reports may be lost

Cause: a holder went on after the report that it found in the lease, also if that lease was part of a copy and no process was left that knew of a later one.

A report now bears the store's generation in which it was first written. A holder that finds one of an earlier generation, and did not itself hold the lease until the restore, reports no window that had ended when it learned of the restore. A report is written after the end of its window and before the restore, so none of the windows that are left can have been reported.

The model of five nodes before a store now kills nodes about when the store is away. Its check of requests to upstreams passes over those that have exited and that only the copy names, in plays with such kills only: the trace shows that no process knew of them and that nobody was reached.

--- a/internal/core/gateway/duties.go
+++ b/internal/core/gateway/duties.go
@@ -152,7 +152,19 @@
 	if written != nil {
 		next = max(written.Window+1, current-2)
 	}
-	return next
+	return max(next, g.firstUnreportedWindow())
+}
+
+// firstUnreportedWindow returns the first window that no process can have reported without this
+// node's knowledge. A report that the store has lost was written before the restore, and its
+// window had ended then.
+func (g *Gateway) firstUnreportedWindow() int64 {
+	lostUntil := g.lease.ReportsLostUntil()
+	if lostUntil.IsZero() {
+		return 0
+	}
+	offset := g.clusterTime().Sub(g.now)
+	return g.usage.counter.Window(lostUntil.Add(offset))
 }
 
 func (g *Gateway) sendReport(report leader.Report) {
--- a/internal/core/gateway/status.go
+++ b/internal/core/gateway/status.go
@@ -116,7 +116,7 @@
 	if r == nil {
 		return nil
 	}
-	return &peer.UsageReport{Window: r.Window, Counts: r.Counts, Accepted: r.Accepted}
+	return &peer.UsageReport{Window: r.Window, Counts: r.Counts, Accepted: r.Accepted, Generation: r.Generation}
 }
 
 func (g *Gateway) peerReceived(e PeerReceived) {
@@ -177,7 +177,9 @@
 	g.noteLease(s)
 	g.noteOrders(s)
 	if s.Report != nil {
-		g.lease.NoteReport(leader.Report{Window: s.Report.Window, Counts: s.Report.Counts, Accepted: s.Report.Accepted})
+		g.lease.NoteReport(leader.Report{
+			Window: s.Report.Window, Counts: s.Report.Counts, Accepted: s.Report.Accepted, Generation: s.Report.Generation,
+		})
 	}
 	g.mergeRollouts(s)
 	g.mergeEvacuations(s)
--- a/internal/core/gateway/store_model_test.go
+++ b/internal/core/gateway/store_model_test.go
@@ -58,6 +58,18 @@
 	}
 }
 
+// TestWindowIsNotReportedTwiceAfterKillAndRestore: the store lost the usage report of a window with
+// the only processes that knew of it, and the next holder reported the window with other counts.
+func TestWindowIsNotReportedTwiceAfterKillAndRestore(t *testing.T) {
+	for seed := *storeFirst; seed < *storeFirst+*storeSeeds; seed++ {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			w := newStoreWorld(seed)
+			w.killsWithRestore = true
+			qt.Assert(t, w.play(), qt.HasLen, 0)
+		})
+	}
+}
+
 // TestModelDetectsMissingGeneration: nodes that are not told the store's generation compare
 // revisions across restores. The model must find what that breaks.
 func TestModelDetectsMissingGeneration(t *testing.T) {
--- a/internal/core/gateway/store_world_faults_test.go
+++ b/internal/core/gateway/store_world_faults_test.go
@@ -21,6 +21,10 @@
 	// worldCopies is the number of copies that are kept, one each worldCopyInterval.
 	worldCopies       = 8
 	worldCopyInterval = 600 * time.Millisecond
+	// killSpread bounds the time from the store's going away until nodes are killed with it,
+	// restartDelay is the time after which they start again.
+	killSpread   = 1500 * time.Millisecond
+	restartDelay = 500 * time.Millisecond
 )
 
 // scheduleFaults schedules what happens to the store, the upstreams and the nodes.
@@ -50,6 +54,9 @@
 	}
 	w.down = true
 	w.log("store goes away")
+	if w.killsWithRestore {
+		w.killNodes()
+	}
 	w.unstableAt = append(w.unstableAt, w.now)
 	w.after(time.Duration(w.rng.Int64N(int64(time.Second))), func() {
 		w.down = false
@@ -71,6 +78,23 @@
 	})
 }
 
+// killNodes kills all nodes, or each with even odds, about when the store is away. They start again
+// half a second later.
+func (w *storeWorld) killNodes() {
+	all := w.rng.IntN(3) > 0
+	at := time.Duration(w.rng.Int64N(int64(killSpread)))
+	for _, n := range w.nodes {
+		if !all && w.rng.IntN(2) == 0 {
+			continue
+		}
+		w.after(at, func() {
+			w.log(n.name, "is killed")
+			n.g, n.start = nil, w.now
+			w.after(restartDelay, func() { w.startNode(n, false) })
+		})
+	}
+}
+
 func (w *storeWorld) log(values ...any) {
 	if *storeTrace {
 		fmt.Println(append([]any{w.now.Sub(epoch)}, values...)...)
@@ -183,6 +207,11 @@
 		acknowledgedByAll := w.isStable(leftAt.Add(-worldContact), leftAt.Add(worldDrain))
 		// A node that has learned of the leave itself is bound by it during disruptions, too.
 		inTouch := n.start.Before(leftAt) || w.now.Sub(n.start) > worldContact && w.isStable(w.now.Add(-worldContact), w.now)
+		if w.killsWithRestore && u.exited && !n.start.Before(leftAt) {
+			// Only the copy knows of the upstream, until the store removes its entry: the request
+			// reaches nobody.
+			inTouch = false
+		}
 		if inTouch && acknowledgedByAll && w.now.Sub(leftAt) > worldDrain {
 			w.addViolation("%s sends to %s, which left at %v", n.name, u.entry.ID, leftAt.Sub(epoch))
 		}
--- a/internal/core/leader/doc.go
+++ b/internal/core/leader/doc.go
@@ -16,7 +16,9 @@
 // # Usage
 //
 // The counts of a window are written into the lease before they are reported,
-// so that the next holder sends the same report if it has to retry it.
+// so that the next holder sends the same report if it has to retry it. A store that is restored
+// from a copy may lose a report together with all processes that know of it, so a holder that
+// has not held the lease until then reports no window that had ended before.
 //
 //	e := leader.New("vm-1", start, term)
 //	call, ok := e.Acquire(now)
--- a/internal/core/leader/lease.go
+++ b/internal/core/leader/lease.go
@@ -29,6 +29,9 @@
 	Counts map[string]int64
 	// Accepted reports whether the platform has accepted the report.
 	Accepted bool
+	// Generation is the store's generation in which the report was first written. The store
+	// may have lost later ones of an earlier generation.
+	Generation int64
 }
 
 // Result is the outcome of a call to the store.
@@ -92,8 +95,12 @@
 	// report is the latest usage report that this process knows of. The store may have lost
 	// it.
 	report *Report
-	// generation is the latest generation of the store.
-	generation int64
+	// generation is the latest generation of the store, known since generationAt.
+	generation   int64
+	generationAt time.Time
+	// knowsReports is set if this process held the lease until the store was restored: no
+	// report of an earlier generation is unknown to it.
+	knowsReports bool
 	// mayReclaim is set if the store was restored while this process held the lease: until a
 	// lease of the new generation is written, no other process can hold one.
 	mayReclaim bool
@@ -236,7 +243,9 @@
 	}
 	next := e.latest.Lease
 	if report != nil {
-		next.Report = report
+		written := *report
+		written.Generation = e.generation
+		next.Report = &written
 	}
 	return e.write(now, next)
 }
@@ -258,8 +267,9 @@
 	if generation <= e.generation {
 		return
 	}
-	e.generation = generation
+	e.generation, e.generationAt = generation, now
 	e.mayReclaim = e.held && now.Before(e.validUntil)
+	e.knowsReports = e.mayReclaim
 	e.unconfirmed = e.held
 	e.held, e.haveLatest = false, false
 	e.retryAt = now
@@ -269,6 +279,16 @@
 // none.
 func (e *Elector) LatestReport() *Report { return e.report }
 
+// ReportsLostUntil returns the time before which usage reports may have been written that the store
+// has lost and this process does not know of. It is zero if there are none.
+func (e *Elector) ReportsLostUntil() time.Time {
+	latest := e.latest.Lease.Report
+	if e.knowsReports || latest != nil && latest.Generation == e.generation {
+		return time.Time{}
+	}
+	return e.generationAt
+}
+
 // NoteReport notes a usage report that another holder of the lease has written.
 func (e *Elector) NoteReport(r Report) {
 	e.report = laterReport(e.report, &r)
--- a/internal/core/leader/restored_test.go
+++ b/internal/core/leader/restored_test.go
@@ -116,3 +116,56 @@
 		c.Assert(*next.Latest().Report, qt.DeepEquals, report)
 	}
 }
+
+// TestReportLostWithItsProcessesIsNotOverlooked: the store has lost the latest report with the only
+// process that knew of it. The processes that hold the lease from then on must know that there
+// may have been one, until one of them has written a report of its own.
+func TestReportLostWithItsProcessesIsNotOverlooked(t *testing.T) {
+	c := qt.New(t)
+	s := &fakeStore{}
+	first := New("a", 1, term)
+	now, _ := s.acquire(first, epoch, 5*time.Second)
+	backup := *s
+	call, _ := first.Renew(now, &Report{Window: 7})
+	s.apply(first, now, call)
+	s.restore(now, backup, 1)
+
+	second := New("a", 2, term)
+	second.HandleGeneration(now, 1)
+	now, ok := s.acquire(second, now, 10*time.Second)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(second.ReportsLostUntil().IsZero(), qt.IsFalse)
+
+	third := New("a", 3, term)
+	restarted := now.Add(time.Second)
+	third.HandleGeneration(restarted, 1)
+	now, ok = s.acquire(third, restarted, 10*time.Second)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(third.ReportsLostUntil(), qt.Equals, restarted)
+	call, _ = third.Renew(now, &Report{Window: 9})
+	s.apply(third, now, call)
+	c.Assert(third.ReportsLostUntil().IsZero(), qt.IsTrue)
+
+	fourth := New("a", 4, term)
+	fourth.HandleGeneration(now, 1)
+	_, ok = s.acquire(fourth, now, 10*time.Second)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(fourth.ReportsLostUntil().IsZero(), qt.IsTrue)
+}
+
+// TestHolderKnowsReportsAcrossRestore: a process that holds the lease while the store is restored
+// knows all reports, and goes on with the next window.
+func TestHolderKnowsReportsAcrossRestore(t *testing.T) {
+	c := qt.New(t)
+	s := &fakeStore{}
+	a := New("a", 1, term)
+	now, _ := s.acquire(a, epoch, 5*time.Second)
+	backup := *s
+	call, _ := a.Renew(now, &Report{Window: 7})
+	s.apply(a, now, call)
+	s.restore(now, backup, 1, a)
+	_, ok := s.acquire(a, now, 5*time.Second)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(a.ReportsLostUntil().IsZero(), qt.IsTrue)
+	c.Assert(a.Latest().Report.Window, qt.Equals, int64(7))
+}
--- a/internal/core/peer/status.go
+++ b/internal/core/peer/status.go
@@ -119,6 +119,8 @@
 	Window   int64            `cbor:"1,keyasint"`
 	Counts   map[string]int64 `cbor:"2,keyasint"`
 	Accepted bool             `cbor:"3,keyasint,omitempty"`
+	// Generation is the store's generation in which the report was first written.
+	Generation int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // UpstreamsAt returns the revision of the latest change to the sender's list of upstreams.
