gateway: requeue all waiting requests before any is dispatched

Cause: the walk over the waiting requests put each of them into its queue and dispatched from the whole queue at once. That dispatched requests further down in the walk, which it reached later and put back although they ran. The phase was set by plain assignment in several files, so that nothing objected.

A configuration now takes all waiting requests out of the queues, puts them back without dispatching, and dispatches then.

--- a/internal/core/gateway/attempt.go
+++ b/internal/core/gateway/attempt.go
@@ -79,7 +79,7 @@
 	if e.Framing != "" && !r.began && e.Result != ResultMisdirected {
 		g.recordSignals(r.upstream, r.dispatchedAt, e.Signals)
 	}
-	r.phase = phaseWaiting
+	g.endAttempt(r)
 	r.answerSent = r.answerSent || e.AnswerSent
 	switch {
 	case g.endedInMove(r, e):
--- a/internal/core/gateway/dispatch.go
+++ b/internal/core/gateway/dispatch.go
@@ -30,8 +30,9 @@
 // dispatchTo sends the request to the upstream. The upstream continues from the
 // KV cache of the previous run if from is set.
 func (g *Gateway) dispatchTo(r *request, u placement.Upstream, from KVCache) {
-	r.phase = phaseRunning
-	r.attempt++
+	if !g.startAttempt(r) {
+		return
+	}
 	r.upstream = u
 	r.began, r.relay = false, ""
 	r.dispatchedAt = g.now
--- a/internal/core/gateway/platform.go
+++ b/internal/core/gateway/platform.go
@@ -29,9 +29,7 @@
 	}
 	g.pruneQuotas()
 	g.logOddCold()
-	for _, q := range g.queues {
-		g.requeue(q)
-	}
+	g.requeue()
 }
 
 // pruneQuotas removes the quotas of teams that are no longer configured.
--- a/internal/core/gateway/queue.go
+++ b/internal/core/gateway/queue.go
@@ -56,17 +56,30 @@
 
 // enqueue adds a request to its service's queue and dispatches from the queue.
 func (g *Gateway) enqueue(r *request) {
-	r.phase = phaseWaiting
-	if g.passOn(r) {
+	if !g.push(r) {
 		return
 	}
+	g.dispatchQueue(g.queue(r.service))
+	g.recordWait(r)
+}
+
+// push adds a waiting request to its service's queue. It returns false if the request is passed on or
+// refused instead. It dispatches nothing, so that it may be called for one request after the other.
+func (g *Gateway) push(r *request) bool {
+	if !g.isWaiting(r) {
+		g.logIllegal(r, "queue")
+		return false
+	}
+	if g.passOn(r) {
+		return false
+	}
 	if g.upstreams.Count(r.service) == 0 {
 		g.refuseWithoutUpstream(r)
-		return
+		return false
 	}
 	if g.isRefusedForPauses(r) {
 		g.refuseForPauses(r)
-		return
+		return false
 	}
 	ready, usable := g.upstreams.Usable(g.now, r.service, g.slots(r.service))
 	if len(usable) == 0 && !r.answerSent || g.isRefusedForCold(r) {
@@ -74,31 +87,30 @@
 		if !g.passOnToSharer(r, ready) {
 			g.refuse(r, ReasonOverload, g.retryAfterCold(r, minRetryAfter))
 		}
-		return
+		return false
 	}
-	q := g.queue(r.service)
-	rankQueue := q.rankQueue(r.rank())
+	rankQueue := g.queue(r.service).rankQueue(r.rank())
 	if refused := rankQueue.CheckAdmission(r.teamName(), 0); refused != team.RefusalNone {
 		g.refuse(r, ReasonOverload, g.retryAfter(minRetryAfter))
-		return
+		return false
 	}
 	rankQueue.Push(team.Item{Key: r.key(), Team: r.teamName(), Weight: 1, Deadline: r.deadline})
-	g.dispatchQueue(q)
-	if g.requests[r.conn] == r && r.phase == phaseWaiting {
-		g.recordWait(r, rankQueue.Len())
-	}
+	return true
 }
 
 // recordWait records the wait of a request that could not be dispatched at once,
 // or refuses the request if it has waited for too long.
-func (g *Gateway) recordWait(r *request, queued int) {
+func (g *Gateway) recordWait(r *request) {
+	if !g.isWaiting(r) {
+		return
+	}
 	if !g.now.Before(r.refuseAt) {
 		// An upstream refused the request after a long wait in the queue.
 		g.refuse(r, ReasonOverload, g.retryAfter(minRetryAfter))
 		return
 	}
 	g.goals.record(g.now, r)
-	g.logRequest(r, "wait", "request queued, no upstream has capacity", "rank", r.rank(), "waiting", queued,
+	g.logRequest(r, "wait", "request queued, no upstream has capacity", "rank", r.rank(), "waiting", g.queue(r.service).rankQueue(r.rank()).Len(),
 		"refuse_in_ms", r.refuseAt.Sub(g.now).Milliseconds())
 }
 
@@ -124,11 +136,22 @@
 		if rankQueue.Len() == 0 {
 			continue
 		}
-		rankQueue.ServeEach(func(it team.Item) bool { return g.dispatch(g.queuedRequest(it)) })
+		rankQueue.ServeEach(g.serveQueued)
 	}
 }
 
-// queuedRequest returns the request of a queue item.
+// serveQueued dispatches the request of a queue item, if an upstream has capacity for it. It returns
+// true if the item is to leave the queue.
+func (g *Gateway) serveQueued(it team.Item) bool {
+	r := g.queuedRequest(it)
+	if r == nil || !g.isWaiting(r) {
+		g.log("guard", "queue holds a request that does not wait", "conn", it.Key)
+		return true
+	}
+	return g.dispatch(r)
+}
+
+// queuedRequest returns the request of a queue item, nil if it has ended.
 func (g *Gateway) queuedRequest(it team.Item) *request {
 	conn, err := strconv.ParseUint(it.Key, 10, 64)
 	if err != nil {
@@ -137,16 +160,27 @@
 	return g.requests[conn]
 }
 
-// requeue empties a queue after a configuration change and adds its requests
-// again with their new routes and ranks.
-func (g *Gateway) requeue(q *serviceQueue) {
-	for _, r := range g.waiting(func(r *request) bool { return r.service == q.service }) {
+// requeue empties the queues after a configuration change and adds the requests again with their
+// new routes, services and ranks. A dispatch chooses among all requests of a queue, so none is made
+// before each request is in its queue again.
+func (g *Gateway) requeue() {
+	list := g.waiting(func(*request) bool { return true })
+	for _, r := range list {
 		g.dequeue(r)
+	}
+	var queued []*request
+	for _, r := range list {
 		if reason := g.match(r); reason != "" {
 			g.refuse(r, reason, 0)
 			continue
 		}
-		g.enqueue(r)
+		if g.push(r) {
+			queued = append(queued, r)
+		}
+	}
+	g.dispatchQueues()
+	for _, r := range queued {
+		g.recordWait(r)
 	}
 }
 
@@ -155,7 +189,7 @@
 func (g *Gateway) waiting(selected func(*request) bool) []*request {
 	var list []*request
 	for _, r := range g.requests {
-		if r.phase == phaseWaiting && !r.isBetweenRuns() && selected(r) {
+		if g.isWaiting(r) && !r.isBetweenRuns() && selected(r) {
 			list = append(list, r)
 		}
 	}
--- a/internal/core/gateway/refuse.go
+++ b/internal/core/gateway/refuse.go
@@ -20,7 +20,7 @@
 		g.abort(r, reason)
 		return
 	}
-	if r.runs > 0 && reason != ReasonDeadlineExceeded {
+	if r.mayHaveRun() && reason != ReasonDeadlineExceeded {
 		reason, wait = ReasonFailed, 0
 	}
 	g.emit(Refuse{Conn: r.conn, Reason: reason, RetryAfter: wait})
--- a/internal/core/gateway/relay.go
+++ b/internal/core/gateway/relay.go
@@ -66,8 +66,10 @@
 	if m == nil || r.relayed != nil {
 		return false
 	}
-	r.phase, r.relay, r.upstream = phaseRunning, m.node, placement.Upstream{}
-	r.attempt++
+	if !g.startAttempt(r) {
+		return false
+	}
+	r.relay, r.upstream = m.node, placement.Upstream{}
 	r.relayTries++
 	r.began, r.dispatchedAt, r.process, r.move = false, g.now, 0, nil
 	r.continuesRun, r.counted, r.paced = false, notCounted, false
@@ -138,7 +140,7 @@
 	g.count(CountResult, string(e.Result))
 	g.logEnd(r, e)
 	g.endRelay(r)
-	r.phase = phaseWaiting
+	g.endAttempt(r)
 	r.answerSent = r.answerSent || e.AnswerSent
 	switch {
 	case e.Result == ResultComplete:
--- a/internal/core/gateway/request.go
+++ b/internal/core/gateway/request.go
@@ -9,16 +9,6 @@
 	"monsoonlanding/internal/core/route"
 )
 
-// phase is the stage of a request's life cycle.
-type phase string
-
-const (
-	// phaseWaiting requests are queued, or their stream has ended and they wait
-	// for the answer to their move.
-	phaseWaiting phase = "waiting"
-	phaseRunning phase = "running"
-)
-
 // request is the node's state of a caller's request.
 type request struct {
 	conn    uint64
