http1: an answer that ends before its request is written is not whole

Cause: the kernel reports a reset once. The goroutine that writes the body took it, and the reader found an orderly end, which is the end of an answer without a length.

At such an end the writer is now stopped and its result awaited. Unless the request has been written whole, the answer counts as broken.

TestWholeEarlyAnswerIsRelayed holds that whole early answers are still relayed.

--- a/internal/standin/rawhttp/rawhttp.go
+++ b/internal/standin/rawhttp/rawhttp.go
@@ -43,6 +43,9 @@
 	// Reset ends the connection with a reset instead of an orderly close, Hold keeps
 	// it open until the test ends.
 	Reset, Hold bool
+	// Early is the number of bytes of the request's body that are read, after the answer has been
+	// sent; 0 reads all of it before the answer. A reset follows at once then.
+	Early int64
 	// Endless is a text that is repeated until the reader closes the connection: in
 	// the head if EndlessHead is set, otherwise in the body.
 	Endless     string
@@ -91,7 +94,9 @@
 	if err != nil {
 		return
 	}
-	_, _ = io.Copy(io.Discard, req.Body)
+	if a.Early == 0 {
+		_, _ = io.Copy(io.Discard, req.Body)
+	}
 	head := a.Head
 	if !strings.HasPrefix(head, "HTTP/") {
 		head = "HTTP/1.1 200 OK\r\n" + head
@@ -104,8 +109,13 @@
 	if a.Hold {
 		<-over
 	}
+	if a.Early > 0 {
+		_, _ = io.CopyN(io.Discard, req.Body, a.Early)
+	}
 	if a.Reset {
-		time.Sleep(resetDelay)
+		if a.Early == 0 {
+			time.Sleep(resetDelay)
+		}
 		_ = conn.SetLinger(0)
 	}
 }
--- a/internal/wire/http1/answer.go
+++ b/internal/wire/http1/answer.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
 // Framing is how an answer's head says where its body ends.
@@ -111,6 +113,9 @@
 func (a *Answer) Read(b []byte) (int, error) {
 	n, err := a.response.Body.Read(b)
 	switch {
+	case err == io.EOF && a.Framing() == FramingClose && !a.awaitRequestWritten():
+		a.failed = true
+		err = a.readError("body", errCutWhileWriting)
 	case err == io.EOF:
 		a.complete = true
 	case err != nil:
@@ -164,6 +169,21 @@
 	return a.Framing() != FramingClose && a.requestWritten()
 }
 
+// errCutWhileWriting is the cause of a body that ends with its connection before the request has been
+// written. The kernel reports a reset once, to the writer, and the reader then finds an orderly end.
+var errCutWhileWriting = errors.Wrap(io.ErrUnexpectedEOF, "connection ended before the request was written")
+
+// awaitRequestWritten ends the writing of the request, and reports whether it had been written whole.
+func (a *Answer) awaitRequestWritten() bool {
+	if a.writeResult == nil {
+		return true
+	}
+	_ = a.conn.SetWriteDeadline(time.Unix(1, 0))
+	err := <-a.writeResult
+	a.writeResult <- err
+	return err == nil
+}
+
 // requestWritten reports whether the complete request has been written.
 func (a *Answer) requestWritten() bool {
 	if a.writeResult == nil {
