http1: a status out of range is no answer

Cause: net/http's parser takes any three characters that make a number for a status, and everything below 200 counted as informational.

The package now reads each head itself and checks its bytes by the grammar of RFC 9112 before net/http reads them.

--- a/internal/wire/http1/answer.go
+++ b/internal/wire/http1/answer.go
@@ -160,7 +160,7 @@
 }
 
 func (a *Answer) reusable() bool {
-	if a.failed || !a.complete || a.response.Close || a.conn.reader.Buffered() > 0 {
+	if a.failed || !a.complete || a.response.Close || a.conn.unread() > 0 {
 		return false
 	}
 	if !a.pool.mayCarryMore(a.conn, a.id) {
--- a/internal/wire/http1/exchange.go
+++ b/internal/wire/http1/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"io"
-	"net/http"
 
 	"github.com/go-faster/errors"
 )
@@ -51,23 +50,6 @@
 	}
 }
 
-// readHead reads the head of the next final answer and skips informational (1xx)
-// ones.
-func (a *Answer) readHead() error {
-	a.conn.limit.set(MaxHeadBytes)
-	defer a.conn.limit.clear()
-	for {
-		resp, err := http.ReadResponse(a.conn.reader, &http.Request{Method: a.method})
-		if err != nil {
-			return a.readError("head", err)
-		}
-		if resp.StatusCode >= http.StatusOK {
-			a.response = resp
-			return nil
-		}
-	}
-}
-
 // isExtra reports whether the answer is a copy of one to an earlier request on the connection.
 func (a *Answer) isExtra() bool {
 	id := a.Names()
--- /dev/null
+++ b/internal/wire/http1/head.go
@@ -0,0 +1,71 @@
+package http1
+
+import (
+	"bufio"
+	"io"
+	"net/http"
+)
+
+// readHead reads the head of the next final answer and skips informational (1xx)
+// ones.
+func (a *Answer) readHead() error {
+	a.conn.limit.set(MaxHeadBytes)
+	defer a.conn.limit.clear()
+	for {
+		if err := a.conn.checkNextHead(); err != nil {
+			return a.readError("head", err)
+		}
+		resp, err := http.ReadResponse(a.conn.reader, &http.Request{Method: a.method})
+		if err != nil {
+			return a.readError("head", err)
+		}
+		if resp.StatusCode >= http.StatusOK {
+			a.response = resp
+			return nil
+		}
+	}
+}
+
+// checkNextHead reads the next head, checks it against the grammar and puts it back for net/http,
+// which reads much that is no head.
+func (c *conn) checkNextHead() error {
+	head, err := readCheckedHead(c.reader)
+	if err != nil {
+		return err
+	}
+	// Bytes that are buffered are there without a read.
+	rest, _ := c.reader.Peek(c.reader.Buffered())
+	c.limit.again = append(head, rest...)
+	c.reader.Reset(c.limit)
+	return nil
+}
+
+// unread returns the number of bytes that have arrived on the connection and have not been read.
+func (c *conn) unread() int { return c.reader.Buffered() + len(c.limit.again) }
+
+// readCheckedHead reads a head up to its empty line. It ends at the first line that is none of a head.
+func readCheckedHead(r *bufio.Reader) ([]byte, error) {
+	var head []byte
+	check := headCheck{}
+	for begin := 0; ; {
+		piece, err := r.ReadSlice('\n')
+		head = append(head, piece...)
+		if err == bufio.ErrBufferFull {
+			continue
+		}
+		if err == io.EOF {
+			err = io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return nil, err
+		}
+		isLast, err := check.line(head[begin:])
+		if err != nil {
+			return nil, err
+		}
+		if isLast {
+			return head, nil
+		}
+		begin = len(head)
+	}
+}
--- /dev/null
+++ b/internal/wire/http1/head_test.go
@@ -0,0 +1,90 @@
+package http1
+
+import (
+	"bufio"
+	"bytes"
+	"net/http"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// heads has a row for each way in which the head of an answer can be wrong, and for those that are right
+// although they look odd.
+var heads = []struct {
+	name, head string
+	want       error
+}{
+	{"ordinary", "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 3\r\n\r\n", nil},
+	{"no fields", "HTTP/1.1 204 No Content\r\n\r\n", nil},
+	{"no reason", "HTTP/1.1 200 \r\n\r\n", nil},
+	{"no reason and no blank", "HTTP/1.1 200\r\n\r\n", nil},
+	{"lines end with LF", "HTTP/1.1 200 OK\nA: b\n\n", nil},
+	{"empty value", "HTTP/1.1 200 OK\r\nA:\r\n\r\n", nil},
+	{"bytes above ASCII in reason and value", "HTTP/1.1 200 d\xc3\xa9j\xc3\xa0\r\nA: \xe9\r\n\r\n", nil},
+	{"tab in a value", "HTTP/1.1 200 OK\r\nA: b\tc\r\n\r\n", nil},
+	{"all characters of a token", "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~0aZ: b\r\n\r\n", nil},
+	{"version in a value", "HTTP/1.1 200 OK\r\nVia: HTTP/1.1 gate, HTTP/1.1 2nd\r\n\r\n", nil},
+	{"HTTP/1.0", "HTTP/1.0 200 OK\r\n\r\n", nil},
+
+	{"status 000", "HTTP/1.1 000 \r\n\r\n", errStatusLine},
+	{"status +99", "HTTP/1.1 +99 OK\r\n\r\n", errStatusLine},
+	{"status 099", "HTTP/1.1 099 OK\r\n\r\n", errStatusLine},
+	{"status 600", "HTTP/1.1 600 OK\r\n\r\n", errStatusLine},
+	{"status 999", "HTTP/1.1 999 OK\r\n\r\n", errStatusLine},
+	{"status of two digits", "HTTP/1.1 20 OK\r\n\r\n", errStatusLine},
+	{"status of four digits", "HTTP/1.1 2000 OK\r\n\r\n", errStatusLine},
+	{"status of letters", "HTTP/1.1 2x0 OK\r\n\r\n", errStatusLine},
+	{"another protocol, not asked for", "HTTP/1.1 101 Switching Protocols\r\n\r\n", errStatusLine},
+	{"no status", "HTTP/1.1 \r\n\r\n", errStatusLine},
+	{"two blanks", "HTTP/1.1  200 OK\r\n\r\n", errStatusLine},
+	{"blank before", " HTTP/1.1 200 OK\r\n\r\n", errStatusLine},
+	{"other protocol", "HTTP/2.0 200 OK\r\n\r\n", errStatusLine},
+	{"lower case", "http/1.1 200 OK\r\n\r\n", errStatusLine},
+	{"empty line first", "\r\nHTTP/1.1 200 OK\r\n\r\n", errStatusLine},
+	{"NUL in the reason", "HTTP/1.1 200 O\x00K\r\n\r\n", errStatusLine},
+	{"CR in the reason", "HTTP/1.1 200 O\rK\r\n\r\n", errStatusLine},
+}
+
+// TestHeadThatIsNoneIsRejected guards against answers whose head is no head of RFC 9112: a lenient parser
+// skipped some as informational, ignored lines of others and joined two answers into one.
+func TestHeadThatIsNoneIsRejected(t *testing.T) {
+	for _, row := range heads {
+		t.Run(row.name, func(t *testing.T) {
+			c := qt.New(t)
+			head, err := readCheckedHead(bufio.NewReader(strings.NewReader(row.head + "body\r\n")))
+			if row.want == nil {
+				c.Assert(err, qt.IsNil)
+				c.Assert(string(head), qt.Equals, row.head)
+				return
+			}
+			c.Assert(err, qt.ErrorIs, row.want)
+			c.Assert(isMalformed(err), qt.IsTrue)
+		})
+	}
+}
+
+// FuzzHead holds that what passes as a head is read by net/http as one, with a status in its range.
+func FuzzHead(f *testing.F) {
+	for _, row := range heads {
+		f.Add([]byte(row.head))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		head, err := readCheckedHead(bufio.NewReader(bytes.NewReader(data)))
+		if err != nil {
+			return
+		}
+		if !bytes.HasPrefix(data, head) {
+			t.Fatalf("got %q of %q", head, data)
+		}
+		response, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(data)), nil)
+		if err != nil {
+			// What is left to net/http is the meaning of the fields that frame the body.
+			return
+		}
+		if response.StatusCode < minStatus || response.StatusCode > maxStatus {
+			t.Fatalf("got status %d", response.StatusCode)
+		}
+	})
+}
--- a/internal/wire/http1/limit.go
+++ b/internal/wire/http1/limit.go
@@ -9,7 +9,9 @@
 
 // limitedReader bounds the bytes read from a connection while a limit is set.
 type limitedReader struct {
-	reader    io.Reader
+	reader io.Reader
+	// again holds bytes that are read again, before those of the connection and outside the limit.
+	again     []byte
 	limited   bool
 	remaining int
 }
@@ -19,6 +21,13 @@
 
 // Read returns errHeadTooLarge when the limit is reached.
 func (l *limitedReader) Read(b []byte) (int, error) {
+	if len(l.again) > 0 {
+		n := copy(b, l.again)
+		if l.again = l.again[n:]; len(l.again) == 0 {
+			l.again = nil
+		}
+		return n, nil
+	}
 	if !l.limited {
 		return l.reader.Read(b)
 	}
