http1: a field name that is no token makes no answer

Cause: net/http accepts blanks in names on purpose, skips lines without a name, joins folded lines and believes one of two lengths.

The check of the bytes of a head now covers its field lines, and that the body is framed in one way. The clients by net/http (store, cloud API, engines, operator, callers) get a transport that fails on such a name, or on a status out of range.

--- a/cmd/monsoonlanding/caller.go
+++ b/cmd/monsoonlanding/caller.go
@@ -29,7 +29,7 @@
 
 func (f *callerFlags) client() *callerhttp.Client {
 	transport := &http.Transport{MaxIdleConnsPerHost: 256, MaxResponseHeaderBytes: http1.MaxHeadBytes}
-	return callerhttp.NewClient(f.nodes, f.key, &http.Client{Transport: transport}, clock.System{})
+	return callerhttp.NewClient(f.nodes, f.key, &http.Client{Transport: http1.CheckedTransport(transport)}, clock.System{})
 }
 
 func newAddresses() *cobra.Command {
--- a/cmd/monsoonlanding/gateway.go
+++ b/cmd/monsoonlanding/gateway.go
@@ -127,11 +127,11 @@
 // platformClient returns the HTTP client for the platform's store and cloud API.
 func platformClient() *http.Client {
 	dialer := http1.Dialer(platformConnectTimeout)
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: http1.CheckedTransport(&http.Transport{
 		DialContext:            dialer.DialContext,
 		IdleConnTimeout:        platformIdleTimeout,
 		MaxResponseHeaderBytes: http1.MaxHeadBytes,
-	}}
+	})}
 }
 
 // stopOnSignal calls stop on the first SIGTERM or SIGINT and kill on the second.
--- a/cmd/monsoonlanding/operator.go
+++ b/cmd/monsoonlanding/operator.go
@@ -38,7 +38,7 @@
 
 func (f *operatorFlags) client() *operatorhttp.Client {
 	client := &http.Client{
-		Transport: &http.Transport{MaxResponseHeaderBytes: http1.MaxHeadBytes},
+		Transport: http1.CheckedTransport(&http.Transport{MaxResponseHeaderBytes: http1.MaxHeadBytes}),
 		Timeout:   operatorTimeout,
 	}
 	return operatorhttp.NewClient(f.address, f.token, client)
--- a/internal/run/node/runner.go
+++ b/internal/run/node/runner.go
@@ -174,7 +174,7 @@
 	if err != nil {
 		return err
 	}
-	client := &http.Client{Transport: newTransport()}
+	client := &http.Client{Transport: http1.CheckedTransport(newTransport())}
 	r.objects = objecthttp.New(s.Platform.Objects, s.Platform.Token, client)
 	r.cloud = cloudhttp.New(s.Platform.Cloud, s.Platform.Token, client)
 	r.upstreams = upstreamhttp.New(client)
--- a/internal/wire/http1/grammar.go
+++ b/internal/wire/http1/grammar.go
@@ -10,11 +10,15 @@
 
 // The head of an answer by RFC 9112:
 //
-//	head        = status-line *( line line-end ) line-end
+//	head        = status-line *field-line line-end
 //	status-line = "HTTP/1." DIGIT SP status [ SP reason ] line-end
 //	status      = 3DIGIT, from 100 to 599, not 101
 //	reason      = *( HTAB / SP / VCHAR / obs-text )
+//	field-line  = token ":" value line-end
+//	value       = *( HTAB / SP / VCHAR / obs-text )
 //	line-end    = [ CR ] LF
+//
+// The body is framed in one way.
 
 const (
 	statusPrefix = "HTTP/1."
@@ -24,11 +28,18 @@
 	maxStatus   = 599
 )
 
-var errStatusLine = errors.New("status line is malformed")
+var (
+	errStatusLine = errors.New("status line is malformed")
+	errFieldLine  = errors.New("header line is malformed")
+	errFraming    = errors.New("head frames its body in more than one way")
+)
 
 // headCheck checks the lines of a head, one after the other.
 type headCheck struct {
 	hasStatus bool
+	// isOld is set in HTTP/1.0, which has no chunks.
+	isOld            bool
+	lengths, codings int
 }
 
 // line checks the next line, with its end. It returns true for the empty line that ends a head.
@@ -38,18 +49,19 @@
 	switch {
 	case !c.hasStatus:
 		c.hasStatus = true
-		return false, checkStatusLine(line)
+		return false, c.statusLine(line)
 	case len(line) == 0:
-		return true, nil
+		return true, c.framing()
 	default:
-		return false, nil
+		return false, c.fieldLine(line)
 	}
 }
 
-func checkStatusLine(line []byte) error {
+func (c *headCheck) statusLine(line []byte) error {
 	if !isStatusBegin(line) {
 		return errors.Wrapf(errStatusLine, "got %q", excerpt(line))
 	}
+	c.isOld = line[len(statusPrefix)] == '0'
 	status, _ := strconv.Atoi(string(line[statusBegin-3 : statusBegin]))
 	if status < minStatus || status > maxStatus || status == http.StatusSwitchingProtocols {
 		return errors.Wrapf(errStatusLine, "got status %03d", status)
@@ -61,6 +73,28 @@
 	return nil
 }
 
+func (c *headCheck) fieldLine(line []byte) error {
+	name, value, ok := bytes.Cut(line, []byte(":"))
+	if !ok || !isToken(name) || !isText(value) {
+		return errors.Wrapf(errFieldLine, "got %q", excerpt(line))
+	}
+	switch {
+	case bytes.EqualFold(name, []byte("Content-Length")):
+		c.lengths++
+	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
+		c.codings++
+	}
+	return nil
+}
+
+// framing checks that at most one field frames the body.
+func (c *headCheck) framing() error {
+	if c.lengths+c.codings > 1 || c.codings > 0 && c.isOld {
+		return errors.Wrapf(errFraming, "got %d lengths and %d codings", c.lengths, c.codings)
+	}
+	return nil
+}
+
 // isStatusBegin reports whether b begins like a status line, up to three digits of a status.
 func isStatusBegin(b []byte) bool {
 	if len(b) < statusBegin || !bytes.HasPrefix(b, []byte(statusPrefix)) {
@@ -82,6 +116,25 @@
 	return true
 }
 
+// isToken reports whether b is the name of a field.
+func isToken(b []byte) bool {
+	for _, c := range b {
+		if !isTokenChar(c) {
+			return false
+		}
+	}
+	return len(b) > 0
+}
+
+func isTokenChar(c byte) bool {
+	switch {
+	case isDigit(c), 'a' <= c && c <= 'z', 'A' <= c && c <= 'Z':
+		return true
+	default:
+		return bytes.IndexByte([]byte("!#$%&'*+-.^_`|~"), c) >= 0
+	}
+}
+
 // maxExcerpt bounds what an error quotes of a line.
 const maxExcerpt = 80
 
--- a/internal/wire/http1/head_test.go
+++ b/internal/wire/http1/head_test.go
@@ -45,6 +45,25 @@
 	{"empty line first", "\r\nHTTP/1.1 200 OK\r\n\r\n", errStatusLine},
 	{"NUL in the reason", "HTTP/1.1 200 O\x00K\r\n\r\n", errStatusLine},
 	{"CR in the reason", "HTTP/1.1 200 O\rK\r\n\r\n", errStatusLine},
+
+	{"blank before the colon", "HTTP/1.1 200 OK\r\nContent-Length : 10\r\n\r\n", errFieldLine},
+	{"tab before the colon", "HTTP/1.1 200 OK\r\nContent-Length\t: 10\r\n\r\n", errFieldLine},
+	{"blank in a name", "HTTP/1.1 200 OK\r\nContent Length: 10\r\n\r\n", errFieldLine},
+	{"control byte in a name", "HTTP/1.1 200 OK\r\nA\x01b: c\r\n\r\n", errFieldLine},
+	{"DEL in a name", "HTTP/1.1 200 OK\r\nA\x7fb: c\r\n\r\n", errFieldLine},
+	{"byte above ASCII in a name", "HTTP/1.1 200 OK\r\nA\xe9: c\r\n\r\n", errFieldLine},
+	{"no name", "HTTP/1.1 200 OK\r\n: c\r\n\r\n", errFieldLine},
+	{"no colon", "HTTP/1.1 200 OK\r\nAbc\r\n\r\n", errFieldLine},
+	{"folded", "HTTP/1.1 200 OK\r\nA: b\r\n c\r\n\r\n", errFieldLine},
+	{"folded, with a colon", "HTTP/1.1 200 OK\r\nA: b\r\n\tc: d\r\n\r\n", errFieldLine},
+	{"NUL in a value", "HTTP/1.1 200 OK\r\nA: b\x00\r\n\r\n", errFieldLine},
+	{"CR in a value", "HTTP/1.1 200 OK\r\nA: b\rc\r\n\r\n", errFieldLine},
+	{"ESC in a value", "HTTP/1.1 200 OK\r\nA: \x1b[1m\r\n\r\n", errFieldLine},
+
+	{"two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\ncontent-length: 3\r\n\r\n", errFraming},
+	{"length and chunks", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", errFraming},
+	{"chunks twice", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n", errFraming},
+	{"chunks in HTTP/1.0", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", errFraming},
 }
 
 // TestHeadThatIsNoneIsRejected guards against answers whose head is no head of RFC 9112: a lenient parser
@@ -65,7 +84,8 @@
 	}
 }
 
-// FuzzHead holds that what passes as a head is read by net/http as one, with a status in its range.
+// FuzzHead holds that what passes as a head is read by net/http as one, with names that are tokens and a status
+// in its range.
 func FuzzHead(f *testing.F) {
 	for _, row := range heads {
 		f.Add([]byte(row.head))
@@ -86,5 +106,10 @@
 		if response.StatusCode < minStatus || response.StatusCode > maxStatus {
 			t.Fatalf("got status %d", response.StatusCode)
 		}
+		for name := range response.Header {
+			if !isToken([]byte(name)) {
+				t.Fatalf("got name %q", name)
+			}
+		}
 	})
 }
