http1: a head that contains another status line is none

Cause: "HTTP/1.1 200 OKHTTP/1.1 500 Internal Server Error" was taken for one status line, and the id in the fields behind it vouched for an answer whose first bytes are another's. The same holds where the extra answer breaks off in the value of a field.

Neither a reason nor a value may contain the begin of a status line now.

TestPartOfAnswerBeforeAnotherIsNoAnswer: its three rows failed before.

--- a/internal/run/gateway/head_grammar_test.go
+++ b/internal/run/gateway/head_grammar_test.go
@@ -52,3 +52,16 @@
 	sound := rawhttp.Answer{Head: plainHead + length, Body: document}
 	answerEnd{"repeated", safePath, []rawhttp.Answer{odd, sound}, whole}.run(t)
 }
+
+// TestPartOfAnswerBeforeAnotherIsNoAnswer: the first line of an extra answer that was broken off was joined with the
+// next answer's, so that a failure reached the caller as a success.
+func TestPartOfAnswerBeforeAnotherIsNoAnswer(t *testing.T) {
+	failure := "HTTP/1.1 500 Internal Server Error\r\n" + plainHead + rawhttp.Length(len(document))
+	for name, part := range map[string]string{
+		"status line":       "HTTP/1.1 200 OK",
+		"status":            "HTTP/1.1 200 ",
+		"value of a header": "HTTP/1.1 200 OK\r\nDate: Mon",
+	} {
+		answerEnd{name, unsafePath, one(part+failure, document), failed}.run(t)
+	}
+}
--- a/internal/wire/http1/grammar.go
+++ b/internal/wire/http1/grammar.go
@@ -18,7 +18,8 @@
 //	value       = *( HTAB / SP / VCHAR / obs-text )
 //	line-end    = [ CR ] LF
 //
-// The body is framed in one way.
+// Neither a reason nor a value contains the begin of a status line: an answer that was broken off in its
+// head, and the next one on its connection, make one line. The body is framed in one way.
 
 const (
 	statusPrefix = "HTTP/1."
@@ -31,6 +32,7 @@
 var (
 	errStatusLine = errors.New("status line is malformed")
 	errFieldLine  = errors.New("header line is malformed")
+	errJoined     = errors.New("head contains another status line")
 	errFraming    = errors.New("head frames its body in more than one way")
 )
 
@@ -70,7 +72,7 @@
 	if len(reason) > 0 && reason[0] != ' ' || !isText(reason) {
 		return errors.Wrapf(errStatusLine, "got %q", excerpt(line))
 	}
-	return nil
+	return checkNotJoined(reason)
 }
 
 func (c *headCheck) fieldLine(line []byte) error {
@@ -84,7 +86,7 @@
 	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
 		c.codings++
 	}
-	return nil
+	return checkNotJoined(value)
 }
 
 // framing checks that at most one field frames the body.
@@ -95,6 +97,20 @@
 	return nil
 }
 
+// checkNotJoined returns an error if the text contains the begin of a status line.
+func checkNotJoined(text []byte) error {
+	for rest := text; ; {
+		i := bytes.Index(rest, []byte(statusPrefix))
+		if i < 0 {
+			return nil
+		}
+		if isStatusBegin(rest[i:]) {
+			return errors.Wrapf(errJoined, "got %q", excerpt(text))
+		}
+		rest = rest[i+len(statusPrefix):]
+	}
+}
+
 // isStatusBegin reports whether b begins like a status line, up to three digits of a status.
 func isStatusBegin(b []byte) bool {
 	if len(b) < statusBegin || !bytes.HasPrefix(b, []byte(statusPrefix)) {
--- a/internal/wire/http1/head_test.go
+++ b/internal/wire/http1/head_test.go
@@ -64,6 +64,13 @@
 	{"length and chunks", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", errFraming},
 	{"chunks twice", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n", errFraming},
 	{"chunks in HTTP/1.0", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", errFraming},
+
+	{"joined in the reason", "HTTP/1.1 200 OKHTTP/1.1 500 Internal Server Error\r\n\r\n", errJoined},
+	{"joined at the reason", "HTTP/1.1 200 HTTP/1.1 500 Internal Server Error\r\n\r\n", errJoined},
+	{"joined in a value", "HTTP/1.1 200 OK\r\nDate: MonHTTP/1.1 503 Service Unavailable\r\n\r\n", errJoined},
+	{"joined in the status", "HTTP/1.1 20HTTP/1.1 500 Internal Server Error\r\n\r\n", errStatusLine},
+	{"joined in a name", "HTTP/1.1 200 OK\r\nDaHTTP/1.1 500 Error: odd\r\n\r\n", errFieldLine},
+	{"joined between lines", "HTTP/1.1 200 OK\r\nHTTP/1.1 500 Error: odd\r\n\r\n", errFieldLine},
 }
 
 // TestHeadThatIsNoneIsRejected guards against answers whose head is no head of RFC 9112: a lenient parser
@@ -84,6 +91,17 @@
 	}
 }
 
+// TestHeadBrokenOffAtAnyByteJoinsNothing: an answer that was broken off in its head, and the next one behind it,
+// are never taken as one answer.
+func TestHeadBrokenOffAtAnyByteJoinsNothing(t *testing.T) {
+	first := "HTTP/1.1 200 OK\r\nDate: Mon, 07 Dec 2026 00:00:00 GMT\r\nContent-Length: 3\r\nName: a\r\n\r\n"
+	second := "HTTP/1.1 500 Internal Server Error\r\nName: b\r\nContent-Length: 2\r\n\r\noh"
+	for cut := 1; cut < len(first)-len("\r\n"); cut++ {
+		_, err := readCheckedHead(bufio.NewReader(strings.NewReader(first[:cut] + second)))
+		qt.Check(t, err, qt.IsNotNil, qt.Commentf("%q", first[:cut]))
+	}
+}
+
 // FuzzHead holds that what passes as a head is read by net/http as one, with names that are tokens and a status
 // in its range.
 func FuzzHead(f *testing.F) {
