gateway: take all that is held of answers from the memory budget

Many callers at once, whose upstreams hung in the middle of their answers, made a node take more memory than its machine has (reported by other operators as processes that end by themselves).

Cause: the budget counted documents. Failures (250 KB each), events until they are whole, and heads were held outside of it, and a head of short lines takes many times its bytes.

Failures are read like documents now; of a stream, what is held beyond 4 KiB is taken from the budget; a head beyond 4 KiB takes three times its size and may have 256 fields. What does not fit is malformed. What was held of an answer is given back when the next attempt begins.

--- a/internal/run/gateway/answer.go
+++ b/internal/run/gateway/answer.go
@@ -33,17 +33,25 @@
 // bufferAnswer reads an answer to its end into h.answer. An upstream's error is
 // relayed from there if no other attempt succeeds.
 func (h *handler) bufferAnswer(answer *http1.Answer) error {
-	body, err := http1.ReadDocument(answer, maxBufferedBytes)
-	if errors.Is(err, http1.ErrTooLarge) {
-		return errors.Wrap(errMalformed, err.Error())
-	}
+	body, isWhole, err := h.readBegin(answer)
 	if err != nil {
 		return err
 	}
+	if !isWhole {
+		return errors.Wrapf(errMalformed, "upstream's error is not held beyond %d bytes, %d of memory are taken for it",
+			len(body), h.answerLease.Size())
+	}
 	h.setAnswer(answer, body)
 	return nil
 }
 
+// releaseAnswer gives back what was held of the answer to the attempt before.
+func (h *handler) releaseAnswer() {
+	h.answer = nil
+	h.answerLease.Release()
+	h.headLease.Release()
+}
+
 func (h *handler) setAnswer(answer *http1.Answer, body []byte) {
 	h.answer = &bufferedAnswer{
 		status: answer.Status(), header: answer.Header(), body: body, framing: core.Framing(answer.Framing()),
--- a/internal/run/gateway/attempt.go
+++ b/internal/run/gateway/attempt.go
@@ -64,6 +64,7 @@
 // exchange sends the request, relays the answer and returns the result.
 func (h *handler) exchange(ctx context.Context, d core.Dispatch, remaining time.Duration) core.Ended {
 	h.stream.partialBytes = 0
+	h.releaseAnswer()
 	answer, isRelay, err := h.send(ctx, d, remaining)
 	if err != nil {
 		return failedAttempt(err)
@@ -141,6 +142,7 @@
 		Header:  h.runner.cfg.Protocol.EncodeHeader(h.r.Header, d, remaining, h.stream.lastID),
 		Body:    h.body,
 		MaxIdle: d.MaxIdleConns,
+		Hold:    h.headLease.Grow,
 	}
 }
 
--- a/internal/run/gateway/events.go
+++ b/internal/run/gateway/events.go
@@ -1,6 +1,42 @@
 package gateway
 
-import "bytes"
+import (
+	"bytes"
+
+	"monsoonlanding/internal/core/memory"
+)
+
+// heldEvents is what has been read of a stream and not been relayed. What is beyond one read is taken
+// from the budget.
+type heldEvents struct {
+	bytes []byte
+	lease *memory.Lease
+}
+
+// add appends bytes. It returns false if there is no memory for them.
+func (e *heldEvents) add(b []byte) bool {
+	size := len(e.bytes) + len(b)
+	if size > cap(e.bytes) {
+		grown := max(2*cap(e.bytes), size, readBufferBytes)
+		if grown > readBufferBytes && !e.lease.Grow(int64(grown)-e.lease.Size()) {
+			return false
+		}
+		e.bytes = append(make([]byte, 0, grown), e.bytes...)
+	}
+	e.bytes = append(e.bytes, b...)
+	return true
+}
+
+// drop removes n bytes from the begin. What a long event has taken is given back after it.
+func (e *heldEvents) drop(n int) {
+	rest := e.bytes[n:]
+	if cap(e.bytes) > memory.SmallBytes && len(rest) <= readBufferBytes {
+		e.bytes = append(make([]byte, 0, readBufferBytes), rest...)
+		e.lease.Release()
+		return
+	}
+	e.bytes = append(e.bytes[:0], rest...)
+}
 
 // isPartialEvent reports whether the bytes after the last event of a stream
 // belong to another event. Whole lines of comment don't.
--- a/internal/run/gateway/events_test.go
+++ b/internal/run/gateway/events_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"monsoonlanding/internal/core/memory"
 )
 
 func TestLastEventEnd(t *testing.T) {
@@ -68,3 +70,28 @@
 		c.Assert(countEvents([]byte(text)), qt.Equals, n, qt.Commentf("%q", text))
 	}
 }
+
+// TestHeldEventsGiveBackTheirMemory: a long event is taken from the budget until it is relayed, and fails if it does
+// not fit; short ones take nothing.
+func TestHeldEventsGiveBackTheirMemory(t *testing.T) {
+	c := qt.New(t)
+	budget := memory.New(100_000)
+	e := heldEvents{lease: budget.Lease(memory.Answer)}
+	taken := func() int64 { return budget.Taken()[memory.Answer] }
+	piece := make([]byte, 4000)
+	c.Assert(e.add(piece), qt.IsTrue)
+	c.Assert(taken(), qt.Equals, int64(0))
+	for range 10 {
+		c.Assert(e.add(piece), qt.IsTrue)
+		c.Assert(taken() >= int64(len(e.bytes)), qt.IsTrue)
+	}
+	e.drop(10 * len(piece))
+	c.Assert(len(e.bytes), qt.Equals, len(piece))
+	c.Assert(taken(), qt.Equals, int64(0))
+	fits := 0
+	for ; e.add(piece); fits++ {
+		c.Assert(fits < 100, qt.IsTrue)
+	}
+	c.Assert(fits > 5, qt.IsTrue)
+	c.Assert(taken() <= 75_000, qt.IsTrue)
+}
--- a/internal/run/gateway/handler.go
+++ b/internal/run/gateway/handler.go
@@ -29,8 +29,9 @@
 	control *http.ResponseController
 	request core.Request
 	body    []byte
-	// bodyLease and answerLease are the memory of the body and of the answer that is held.
-	bodyLease, answerLease *memory.Lease
+	// bodyLease is the memory of the request's body, headLease and answerLease that of the head of the
+	// answer and of what else is held of it.
+	bodyLease, headLease, answerLease *memory.Lease
 	// relayed is set if another node has passed the request on.
 	relayed *core.Relayed
 	// lines buffers the request's log lines until the request ends; nil if they
@@ -65,10 +66,11 @@
 		r:           req,
 		control:     http.NewResponseController(w),
 		bodyLease:   r.intake.budget.Lease(memory.Body),
+		headLease:   r.intake.budget.Lease(memory.Answer),
 		answerLease: r.intake.budget.Lease(memory.Answer),
 	}
 	defer h.bodyLease.Release()
-	defer h.answerLease.Release()
+	defer h.releaseAnswer()
 	if !h.read() {
 		return
 	}
--- a/internal/run/gateway/relay.go
+++ b/internal/run/gateway/relay.go
@@ -52,7 +52,7 @@
 	relayhttp.Request{Token: s.Peers.Token, From: s.Name, Attempts: d.Relay.Attempts}.Set(header)
 	return &http1.Request{
 		ID: h.request.ID, Method: h.r.Method, Target: h.r.RequestURI, Host: h.r.Host, Header: header, Body: h.body,
-		MaxIdle: maxIdleRelayConns,
+		MaxIdle: maxIdleRelayConns, Hold: h.headLease.Grow,
 	}
 }
 
--- a/internal/run/gateway/stream.go
+++ b/internal/run/gateway/stream.go
@@ -34,33 +34,35 @@
 func (h *handler) relayEvents(answer *http1.Answer, d core.Dispatch) error {
 	h.stream.attempt = attemptPace{}
 	added := h.continuationOf(core.Framing(answer.Framing()))
-	var pending []byte
+	pending := heldEvents{lease: h.answerLease}
 	relayed := 0
 	buffer := make([]byte, readBufferBytes)
 	for {
 		n, err := answer.Read(buffer)
-		searched := max(len(pending)-maxEventEnd, 0)
-		pending = append(pending, buffer[:n]...)
-		if end := lastEventEnd(pending[searched:]); end > 0 {
+		searched := max(len(pending.bytes)-maxEventEnd, 0)
+		if !pending.add(buffer[:n]) {
+			return errors.Wrapf(errMalformed, "no memory for an event beyond %d bytes", len(pending.bytes))
+		}
+		if end := lastEventEnd(pending.bytes[searched:]); end > 0 {
 			end += searched
 			relayed += end
-			if err := added.check(pending[:end]); err != nil {
+			if err := added.check(pending.bytes[:end]); err != nil {
 				return err
 			}
-			if err := h.writeEvents(answer, d, pending[:end]); err != nil {
+			if err := h.writeEvents(answer, d, pending.bytes[:end]); err != nil {
 				return err
 			}
-			pending = append(pending[:0], pending[end:]...)
+			pending.drop(end)
 		}
 		if err != nil {
-			h.stream.partialBytes = len(pending)
+			h.stream.partialBytes = len(pending.bytes)
 		}
 		switch {
 		case err == io.EOF:
-			return h.endStream(answer, d, pending)
+			return h.endStream(answer, d, pending.bytes)
 		case err != nil:
 			return err
-		case len(pending) > maxEventBytes:
+		case len(pending.bytes) > maxEventBytes:
 			return errors.Wrapf(errMalformed, "event exceeds %d bytes", maxEventBytes)
 		case relayed > maxAnswerBytes:
 			return errors.Wrapf(errMalformed, "stream exceeds %d bytes", maxAnswerBytes)
--- a/internal/wire/http1/answer.go
+++ b/internal/wire/http1/answer.go
@@ -46,8 +46,9 @@
 	stop     func() bool
 	complete bool
 	failed   bool
-	// maxIdle is that of the request.
+	// maxIdle and hold are those of the request.
 	maxIdle int
+	hold    func(bytes int64) bool
 }
 
 // Status returns the status code.
--- a/internal/wire/http1/grammar.go
+++ b/internal/wire/http1/grammar.go
@@ -27,11 +27,14 @@
 	statusBegin = len("HTTP/1.1 200")
 	minStatus   = 100
 	maxStatus   = 599
+	// maxFields bounds the fields of a head: each takes many times the bytes of a short line.
+	maxFields = 256
 )
 
 var (
 	errStatusLine = errors.New("status line is malformed")
 	errFieldLine  = errors.New("header line is malformed")
+	errTooMany    = errors.Errorf("head has more than %d fields", maxFields)
 	errJoined     = errors.New("head contains another status line")
 	errFraming    = errors.New("head frames its body in more than one way")
 )
@@ -40,8 +43,8 @@
 type headCheck struct {
 	hasStatus bool
 	// isOld is set in HTTP/1.0, which has no chunks.
-	isOld            bool
-	lengths, codings int
+	isOld                    bool
+	fields, lengths, codings int
 }
 
 // line checks the next line, with its end. It returns true for the empty line that ends a head.
@@ -80,6 +83,9 @@
 	if !ok || !isToken(name) || !isText(value) {
 		return errors.Wrapf(errFieldLine, "got %q", excerpt(line))
 	}
+	if c.fields++; c.fields > maxFields {
+		return errTooMany
+	}
 	switch {
 	case bytes.EqualFold(name, []byte("Content-Length")):
 		c.lengths++
--- a/internal/wire/http1/head_test.go
+++ b/internal/wire/http1/head_test.go
@@ -79,7 +79,7 @@
 	for _, row := range heads {
 		t.Run(row.name, func(t *testing.T) {
 			c := qt.New(t)
-			head, err := readCheckedHead(bufio.NewReader(strings.NewReader(row.head + "body\r\n")))
+			head, err := readCheckedHead(bufio.NewReader(strings.NewReader(row.head+"body\r\n")), nil)
 			if row.want == nil {
 				c.Assert(err, qt.IsNil)
 				c.Assert(string(head), qt.Equals, row.head)
@@ -97,7 +97,7 @@
 	first := "HTTP/1.1 200 OK\r\nDate: Mon, 07 Dec 2026 00:00:00 GMT\r\nContent-Length: 3\r\nName: a\r\n\r\n"
 	second := "HTTP/1.1 500 Internal Server Error\r\nName: b\r\nContent-Length: 2\r\n\r\noh"
 	for cut := 1; cut < len(first)-len("\r\n"); cut++ {
-		_, err := readCheckedHead(bufio.NewReader(strings.NewReader(first[:cut] + second)))
+		_, err := readCheckedHead(bufio.NewReader(strings.NewReader(first[:cut]+second)), nil)
 		qt.Check(t, err, qt.IsNotNil, qt.Commentf("%q", first[:cut]))
 	}
 }
@@ -109,7 +109,7 @@
 		f.Add([]byte(row.head))
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
-		head, err := readCheckedHead(bufio.NewReader(bytes.NewReader(data)))
+		head, err := readCheckedHead(bufio.NewReader(bytes.NewReader(data)), nil)
 		if err != nil {
 			return
 		}
--- a/internal/wire/http1/pool.go
+++ b/internal/wire/http1/pool.go
@@ -115,7 +115,7 @@
 		return nil, &Error{Step: stepAdmit, Peer: address, Err: ErrWithheld}
 	}
 	a := &Answer{
-		pool: p, conn: c, dialed: dialed, method: r.Method, id: r.ID, maxIdle: r.MaxIdle,
+		pool: p, conn: c, dialed: dialed, method: r.Method, id: r.ID, maxIdle: r.MaxIdle, hold: r.Hold,
 		connection: Connection{Number: c.number, Exchanges: c.carried.len()},
 	}
 	if p.cfg.AnswerID != nil {
--- a/internal/wire/http1/request.go
+++ b/internal/wire/http1/request.go
@@ -24,6 +24,9 @@
 	// Admit is asked when the connection is open and nothing has been written yet. The
 	// exchange fails with ErrWithheld if it returns false. nil admits all requests.
 	Admit func() bool
+	// Hold is asked for memory before more than a few KB of a head are held, which takes several times
+	// their size. The exchange fails if it returns false. nil: heads have their own bound only.
+	Hold func(bytes int64) bool
 	// MaxIdle bounds the idle connections to the upstream after the exchange, 0 for
 	// no bound.
 	MaxIdle int
