gateway: a move ends with its attempt

Cause: the second attempt ran with the move of the first. When it broke off, the request waited for the answer to that move, which names the first attempt and is dropped.

Any end of an attempt but those that a move itself can cause now gives up the move and its reservation at the target, as does the end of the request.

--- a/internal/core/gateway/move.go
+++ b/internal/core/gateway/move.go
@@ -180,9 +180,14 @@
 // endedInMove processes the end of a stream that is being moved. It returns
 // true if the request waits for the move's answer or continues according to it.
 // An engine that stops a run closes its stream without an end, which without
-// length or chunks looks like the end of a whole stream.
+// length or chunks looks like the end of a whole stream. Any other end is the attempt's own, and
+// the request waits for its move no longer.
 func (g *Gateway) endedInMove(r *request, e Ended) bool {
-	if r.move == nil || e.Result != ResultBroken && e.Result != ResultClosed {
+	if r.move == nil {
+		return false
+	}
+	if e.Result != ResultBroken && e.Result != ResultClosed {
+		g.abandonMove(r)
 		return false
 	}
 	r.move.ended = &e
@@ -192,6 +197,15 @@
 	return true
 }
 
+// abandonMove ends the wait for a move of a request, whose answer will be dropped.
+func (g *Gateway) abandonMove(r *request) {
+	if r.move == nil {
+		return
+	}
+	g.upstreams.CancelReservation(g.now, r.move.target.ID)
+	r.move = nil
+}
+
 // continueMoved dispatches a stopped request to the engine that holds its KV
 // cache.
 func (g *Gateway) continueMoved(r *request) {
--- a/internal/core/gateway/move_test.go
+++ b/internal/core/gateway/move_test.go
@@ -156,3 +156,25 @@
 	b.reduce(Moved{Conn: conn, Attempt: d.Attempt, Outcome: MoveUnknown, Source: m.Source, StartedAt: b.now})
 	b.Assert(b.g.upstreams.OwnLimits(b.now)[0].Limit, qt.Equals, twoPerSecond)
 }
+
+// TestSpoiledStreamWaitsForNoMove: a stream that was spoiled while it was to be moved went on elsewhere with
+// the move of its first attempt; when that attempt broke off too, it waited without an end for an answer to the move.
+func TestSpoiledStreamWaitsForNoMove(t *testing.T) {
+	for _, movedFirst := range []bool{true, false} {
+		b := newBench(t, "a")
+		b.ready(up("m1", "model"), up("m2", "model"))
+		conn, d := b.streaming("/ask/1", 5000)
+		_, ok := findMove(b.reclaim(d.Upstream.ID, 2500*time.Millisecond))
+		b.Assert(ok, qt.IsTrue)
+		next := b.dispatch(b.reduce(Ended{Conn: conn, Attempt: d.Attempt, Result: ResultMalformed, AnswerSent: true}))
+		b.Assert(b.g.requests[conn].move, qt.IsNil)
+		moved := Moved{Conn: conn, Attempt: d.Attempt, Outcome: MoveDone, Handle: "h1"}
+		if movedFirst {
+			b.Assert(b.reduce(moved), qt.HasLen, 1)
+		}
+		effects := b.reduce(Ended{Conn: conn, Attempt: next.Attempt, Result: ResultBroken, AnswerSent: true})
+		b.Assert(refusal(effects), qt.Equals, "cut "+ReasonFailed)
+		b.reduce(moved)
+		b.Assert(b.g.requests[conn], qt.IsNil)
+	}
+}
--- a/internal/core/gateway/refuse.go
+++ b/internal/core/gateway/refuse.go
@@ -53,5 +53,6 @@
 	default:
 		g.upstreams.RecordEnd(g.now, r.upstream.ID, r.conn, placement.Neutral)
 	}
+	g.abandonMove(r)
 	delete(g.requests, r.conn)
 }
