gateway: end requests between two runs at their deadline

A stopped run whose engine asks for longer and longer pauses, or one whose move had no answer, waited beyond its deadline: no handler watches it then, and refuseOverdue passes over it.

Each tick now ends the requests between two runs whose time is over.

TestRunBetweenEnginesEndsAtItsDeadline failed before, with no end after 16 s of 15.

--- a/internal/core/gateway/move.go
+++ b/internal/core/gateway/move.go
@@ -303,6 +303,21 @@
 	}
 }
 
+// endOverdueRuns ends the requests that are between two runs when their time is over: no handler
+// watches their deadlines.
+func (g *Gateway) endOverdueRuns() {
+	var overdue []*request
+	for _, r := range g.requests {
+		if g.isWaiting(r) && r.isBetweenRuns() && !g.now.Before(r.deadline) {
+			overdue = append(overdue, r)
+		}
+	}
+	slices.SortFunc(overdue, byArrival)
+	for _, r := range overdue {
+		g.refuse(r, ReasonDeadlineExceeded, 0)
+	}
+}
+
 // afterStream ends or retries a request whose stream ended although its move did
 // not stop it.
 func (g *Gateway) afterStream(r *request, e Ended) {
--- a/internal/core/gateway/move_test.go
+++ b/internal/core/gateway/move_test.go
@@ -178,3 +178,28 @@
 		b.Assert(b.g.requests[conn], qt.IsNil)
 	}
 }
+
+// TestRunBetweenEnginesEndsAtItsDeadline: nothing watched the deadline of a stopped run that waited for an engine
+// which asked for longer and longer pauses, or for an answer to its move.
+func TestRunBetweenEnginesEndsAtItsDeadline(t *testing.T) {
+	for _, answered := range []bool{true, false} {
+		b := newBench(t, "a")
+		b.ready(up("m1", "model"), up("m2", "model"))
+		conn, d := b.streaming("/plan/1", 5000)
+		m, ok := findMove(b.reclaim(d.Upstream.ID, 20*time.Second))
+		b.Assert(ok, qt.IsTrue)
+		b.reduce(Ended{Conn: conn, Attempt: d.Attempt, Result: ResultBroken, AnswerSent: true})
+		if answered {
+			b.g.recordSignals(m.Target, b.now, Signals{Pause: time.Second})
+			b.reduce(Moved{Conn: conn, Attempt: d.Attempt, Outcome: MoveDone, Handle: "h1"})
+		}
+		b.Assert(b.g.requests[conn].isBetweenRuns(), qt.IsTrue)
+		var effects []Effect
+		for end := b.now.Add(16 * time.Second); b.now.Before(end); {
+			b.g.recordSignals(m.Target, b.now, Signals{Pause: time.Second})
+			effects = append(effects, b.wait(500*time.Millisecond)...)
+		}
+		b.Assert(refusal(effects), qt.Equals, "cut "+ReasonDeadlineExceeded)
+		b.Assert(b.g.requests[conn], qt.IsNil)
+	}
+}
--- a/internal/core/gateway/tick.go
+++ b/internal/core/gateway/tick.go
@@ -14,6 +14,7 @@
 	g.judge()
 	g.checkPaths()
 	g.refuseOverdue()
+	g.endOverdueRuns()
 	g.continueAfterPauses()
 	g.dispatchQueues()
 	g.checkRollouts()
