gateway: half-close the connection of a body that is too large

Cause: the handler ends reading by a deadline, so net/http does not find out that the body goes on, and closes the connection at once. What the caller still writes, if only the end of the body, is answered by a reset, and its client reports that.

For a body that is too large the connection is now closed for writing first, and as a whole half a second later, as net/http does itself for limits that it knows of.

--- a/internal/run/gateway/body.go
+++ b/internal/run/gateway/body.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -49,6 +50,7 @@
 	}
 	switch {
 	case errors.Is(err, errTooLarge):
+		lingerOnClose(h.w)
 		h.refuseInvalid(http.StatusRequestEntityTooLarge, core.ReasonTooLarge, err)
 	case errors.Is(err, errNoMemory):
 		h.runner.intake.turnAway(h.runner.cfg.Clock.Now(), intakeBodyMemory)
@@ -62,6 +64,14 @@
 	return false
 }
 
+// lingerOnClose lets the connection be closed for writing first and as a whole half a second later, so
+// that a caller which still sends reads its answer instead of a reset. net/http does so for a body that a
+// MaxBytesReader has found too large.
+func lingerOnClose(w http.ResponseWriter) {
+	beyond := http.MaxBytesReader(w, io.NopCloser(strings.NewReader("x")), 0)
+	_, _ = beyond.Read(make([]byte, 1))
+}
+
 // receiveBody reads the body into memory that is taken from the budget.
 func (h *handler) receiveBody() ([]byte, error) {
 	limit := h.runner.bodyLimit()
--- a/internal/run/gateway/body_test.go
+++ b/internal/run/gateway/body_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
@@ -156,3 +157,30 @@
 		c.Assert(string(answer), qt.Contains, "ready")
 	}
 }
+
+// TestCallerOfTooLargeBodyIsNotReset guards against a reset before the caller has read that its body is too large: the
+// connection was closed at once, and the rest of the body, on its way, ended the caller's write with an error.
+func TestCallerOfTooLargeBodyIsNotReset(t *testing.T) {
+	for name, begin := range map[string]string{
+		"chunks": "Transfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n", defaultBodyBytes+1) + strings.Repeat("x", defaultBodyBytes+1),
+		"length": fmt.Sprintf("Content-Length: %d\r\n\r\n", defaultBodyBytes+1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			server, _, _ := bodyNode(c, 16<<20)
+			conn, err := net.Dial("tcp", server.Listener.Addr().String())
+			c.Assert(err, qt.IsNil)
+			defer func() { _ = conn.Close() }()
+			_, err = io.WriteString(conn, "POST /q/1 HTTP/1.1\r\nHost: h\r\n"+begin)
+			c.Assert(err, qt.IsNil)
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			c.Assert(err, qt.IsNil)
+			c.Assert(resp.StatusCode, qt.Equals, http.StatusRequestEntityTooLarge)
+			for range 5 {
+				_, err = io.WriteString(conn, "\r\n")
+				c.Assert(err, qt.IsNil)
+				time.Sleep(10 * time.Millisecond)
+			}
+		})
+	}
+}
