--- a/internal/core/gateway/request_play_test.go
+++ b/internal/core/gateway/request_play_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"monsoonlanding/internal/core/peer"
 	"monsoonlanding/internal/core/placement"
 	"monsoonlanding/internal/core/route"
 )
@@ -28,6 +29,11 @@
 	version    int64
 	draining   map[string]time.Time
 	started    map[string]time.Time
+	// gone holds the upstreams that the store does not list.
+	gone map[string]bool
+	// unreachable is set while connections to upstreams fail.
+	unreachable bool
+	statusSeq   uint64
 	violations []string
 }
 
@@ -53,6 +59,7 @@
 	p := &requestPlay{
 		bench: b, rng: rand.New(rand.NewPCG(seed, 8)), handlers: make(map[uint64]*playHandler),
 		version: 1, draining: make(map[string]time.Time), started: make(map[string]time.Time),
+		gone: make(map[string]bool),
 	}
 	p.g.rng = rand.New(rand.NewPCG(seed, 9))
 	p.process(p.reduce(ConfigRead{Config: p.config(), Body: []byte("1"), Source: "store"}))
@@ -91,6 +98,9 @@
 	for _, service := range []string{"desk", "desk2", "model"} {
 		for i := range playUpstreams {
 			u := up(fmt.Sprint(service, i), service)
+			if p.gone[u.ID] {
+				continue
+			}
 			u.Slots, u.StartedAt = 2, p.started[u.ID]
 			if at, ok := p.draining[u.ID]; ok {
 				u.State, u.StopsAt = placement.StateDraining, at
@@ -136,11 +146,11 @@
 		p.version++
 		p.process(p.reduce(ConfigRead{Config: p.config(), Body: []byte("1"), Source: "store"}))
 	case n < 94:
-		s := status("b")
-		s.Seq, s.Time = uint64(p.version*1000)+uint64(p.now.UnixMilli()-epoch.UnixMilli()), p.now
-		p.process(p.receive(s))
-	case n < 97:
+		p.receiveStatus()
+	case n < 96:
 		p.drainOne()
+	case n < 97:
+		p.change()
 	default:
 		p.leave()
 	}
@@ -193,7 +203,13 @@
 	if h.attempt.Streaming {
 		results = append(results, ResultClosed)
 	}
-	if !h.began {
+	switch {
+	case h.began:
+	case p.unreachable:
+		results = []Result{ResultUnreachable}
+	case h.attempt.Relay != (Relay{}):
+		results = append(results, ResultRelayRefused, ResultUnreachable)
+	default:
 		results = append(results, ResultFull, ResultUnreachable, ResultWithheld, ResultRefused)
 	}
 	return results[p.rng.IntN(len(results))]
@@ -206,7 +222,10 @@
 	if !result.NotRun() && attempt.From == (KVCache{}) {
 		h.ran++
 	}
-	e := Ended{Conn: conn, Attempt: attempt.Attempt, Result: result, AnswerSent: h.sent, Framing: FramingChunks}
+	e := Ended{Conn: conn, Attempt: attempt.Attempt, Result: result, AnswerSent: h.sent, Framing: FramingChunks, Signals: p.signals(result)}
+	if result == ResultUnreachable {
+		e.Connect, e.Framing, e.Signals = ConnectFailed, "", Signals{}
+	}
 	if h.sent {
 		e.CallerFraming = FramingChunks
 	}
@@ -235,6 +254,48 @@
 	}
 }
 
+// receiveStatus receives the status of a peer to which requests can be passed on, with loads that are drawn.
+func (p *requestPlay) receiveStatus() {
+	p.statusSeq++
+	s := status("b")
+	s.Seq, s.Time, s.TakesRelays, s.Reaches = p.statusSeq, p.now, p.rng.IntN(2) == 0, p.rng.IntN(2) == 0
+	for i := range playUpstreams {
+		id := fmt.Sprint("desk", i)
+		s.Load = append(s.Load, peer.UpstreamLoad{Upstream: id, Running: p.rng.IntN(3)})
+		s.Reached = append(s.Reached, peer.ReachedUpstream{Process: processID(placement.Upstream{ID: id})})
+	}
+	p.process(p.receive(s))
+}
+
+// change lets an upstream leave or return without notice, lets connections fail or work again, or steps the clock.
+func (p *requestPlay) change() {
+	switch p.rng.IntN(3) {
+	case 0:
+		id := fmt.Sprint([]string{"desk", "desk2", "model"}[p.rng.IntN(3)], p.rng.IntN(playUpstreams))
+		p.gone[id] = !p.gone[id]
+		p.listAll()
+	case 1:
+		p.unreachable = !p.unreachable
+	case 2:
+		p.now = p.now.Add(time.Duration(p.rng.Int64N(int64(3 * time.Second))))
+	}
+}
+
+// signals draws what an upstream says of itself in an answer.
+func (p *requestPlay) signals(result Result) Signals {
+	var s Signals
+	switch p.rng.IntN(8) {
+	case 0:
+		s.Leaving = true
+	case 1:
+		s.RateLimit = placement.RateLimit{Named: true, PerSecond: float64(p.rng.IntN(4))}
+	}
+	if result.NotRun() && p.rng.IntN(3) == 0 {
+		s.Pause = time.Duration(p.rng.Int64N(int64(2 * time.Second)))
+	}
+	return s
+}
+
 // leave lets one caller disconnect.
 func (p *requestPlay) leave() {
 	conns := slices.Sorted(maps.Keys(p.handlers))
@@ -284,6 +345,8 @@
 			p.dispatched(e)
 		case Move:
 			p.moves = append(p.moves, e)
+		case ProbeUpstream:
+			p.process(p.reduce(UpstreamProbed{Upstream: e.Upstream.ID, Connected: !p.unreachable}))
 		case Refuse:
 			p.refused(e)
 		case RelayError:
--- a/internal/wire/http1/doc.go
+++ b/internal/wire/http1/doc.go
@@ -23,15 +23,22 @@
 // an earlier request are skipped, and Own reports whether an answer is that to the
 // request. A request without an ID has a connection of its own.
 //
+// # Heads
+//
+// net/http takes much for a head that is none. The bytes of each head are checked against the
+// grammar of RFC 9112 before net/http reads them (grammar.go); CheckedTransport does what it can for
+// clients of net/http.
+//
 // # Ends of answers
 //
 // Read returns io.EOF at the end that the answer's framing gives. With FramingClose
-// that is an orderly close of the connection, which a crashed upstream causes, too.
+// that is an orderly close of the connection, which a crashed upstream causes, too. Such an end
+// before the request has been written is none: the writer may have been told of a reset.
 //
 // # Limits
 //
-// The head of an answer is bounded in bytes, a body by its reader; the time of both
-// is bounded by the context. An [Error] says whether the bytes that arrived are no
+// The head of an answer is bounded in bytes and fields, a body by its reader; the time of both
+// is bounded by the context. Request.Hold is asked for the memory of a long head. An [Error] says whether the bytes that arrived are no
 // answer.
 //
 // # Usage
