leader: an unsure holder stays unsure across restores

A window could still be reported twice with other counts: all processes are killed while the store is restored, and the holder that took over is there when the store is restored once more. It held the lease until that restore and so took itself for a witness of all reports, though it had not known of the first one that was lost.

A holder is a witness only if it had known all reports before.

TestReportsStayUnknownAcrossRestores failed before.

--- a/internal/core/gateway/store_model_test.go
+++ b/internal/core/gateway/store_model_test.go
@@ -58,10 +58,18 @@
 	}
 }
 
+// restoredTwiceSeeds have failed because a holder that had taken over after one restore took itself
+// for a witness of all reports at the next.
+var restoredTwiceSeeds = []uint64{30601, 31454}
+
 // TestWindowIsNotReportedTwiceAfterKillAndRestore: the store lost the usage report of a window with
 // the only processes that knew of it, and the next holder reported the window with other counts.
 func TestWindowIsNotReportedTwiceAfterKillAndRestore(t *testing.T) {
+	seeds := restoredTwiceSeeds
 	for seed := *storeFirst; seed < *storeFirst+*storeSeeds; seed++ {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range seeds {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			w := newStoreWorld(seed)
 			w.killsWithRestore = true
--- a/internal/core/leader/lease.go
+++ b/internal/core/leader/lease.go
@@ -98,8 +98,8 @@
 	// generation is the latest generation of the store, known since generationAt.
 	generation   int64
 	generationAt time.Time
-	// knowsReports is set if this process held the lease until the store was restored: no
-	// report of an earlier generation is unknown to it.
+	// knowsReports is set if this process knew all reports and held the lease until the store was
+	// restored: no report of an earlier generation is unknown to it.
 	knowsReports bool
 	// mayReclaim is set if the store was restored while this process held the lease: until a
 	// lease of the new generation is written, no other process can hold one.
@@ -267,9 +267,9 @@
 	if generation <= e.generation {
 		return
 	}
-	e.generation, e.generationAt = generation, now
 	e.mayReclaim = e.held && now.Before(e.validUntil)
-	e.knowsReports = e.mayReclaim
+	e.knowsReports = e.mayReclaim && e.ReportsLostUntil().IsZero()
+	e.generation, e.generationAt = generation, now
 	e.unconfirmed = e.held
 	e.held, e.haveLatest = false, false
 	e.retryAt = now
--- a/internal/core/leader/restored_test.go
+++ b/internal/core/leader/restored_test.go
@@ -169,3 +169,32 @@
 	c.Assert(a.ReportsLostUntil().IsZero(), qt.IsTrue)
 	c.Assert(a.Latest().Report.Window, qt.Equals, int64(7))
 }
+
+// TestReportsStayUnknownAcrossRestores: a holder that did not know whether a report had been lost took itself for a
+// witness of all reports when the store was restored once more.
+func TestReportsStayUnknownAcrossRestores(t *testing.T) {
+	c := qt.New(t)
+	s := &fakeStore{}
+	first := New("a", 1, term)
+	now, _ := s.acquire(first, epoch, 5*time.Second)
+	call, _ := first.Renew(now, &Report{Window: 7})
+	s.apply(first, now, call)
+	backup := *s
+	call, _ = first.Renew(now.Add(time.Second), &Report{Window: 8})
+	s.apply(first, now.Add(time.Second), call)
+	s.restore(now, backup, 1)
+
+	second := New("a", 2, term)
+	second.HandleGeneration(now, 1)
+	now, ok := s.acquire(second, now, 10*time.Second)
+	c.Assert(ok, qt.IsTrue)
+	backup = *s
+	s.restore(now, backup, 2, second)
+	now, ok = s.acquire(second, now, 10*time.Second)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(second.Latest().Report.Window, qt.Equals, int64(7))
+	c.Assert(second.ReportsLostUntil().IsZero(), qt.IsFalse)
+	call, _ = second.Renew(now, &Report{Window: 9})
+	s.apply(second, now, call)
+	c.Assert(second.ReportsLostUntil().IsZero(), qt.IsTrue)
+}
