--- a/internal/core/gateway/request_play_test.go
+++ b/internal/core/gateway/request_play_test.go
@@ -23,18 +23,18 @@
 // random, and what the node does to each request is checked after each of them.
 type requestPlay struct {
 	*bench
-	rng        *rand.Rand
-	handlers   map[uint64]*playHandler
-	moves      []Move
-	version    int64
-	draining   map[string]time.Time
-	started    map[string]time.Time
+	rng      *rand.Rand
+	handlers map[uint64]*playHandler
+	moves    []Move
+	version  int64
+	draining map[string]time.Time
+	started  map[string]time.Time
 	// gone holds the upstreams that the store does not list.
 	gone map[string]bool
 	// unreachable is set while connections to upstreams fail.
 	unreachable bool
 	statusSeq   uint64
-	violations []string
+	violations  []string
 }
 
 // playHandler is the model of the handler of one request.
