run/gateway: a test reads the reducer under its lock

TestPanicOfHandlerEndsItsConnection read the reducer while another goroutine could reduce an event; the race detector reported it in each run. The check is the same.

--- a/internal/run/gateway/guard_test.go
+++ b/internal/run/gateway/guard_test.go
@@ -70,7 +70,10 @@
 		c.Assert(resp.Body.Close(), qt.IsNil)
 	}
 	awaitNoRequests(c, r)
-	c.Assert(r.core.State().Services["s"].Running, qt.Equals, 0)
+	r.mu.Lock()
+	running := r.core.State().Services["s"].Running
+	r.mu.Unlock()
+	c.Assert(running, qt.Equals, 0)
 	checkServes(c, request, "/o/2")
 }
 
