gateway, http1: names that a newcomer reads

Bytes that a connection's reader gets again are pushedBack, the check of a head says isHTTP10, and the line on a step that a phase does not allow names the phase or the queue that it leads to. No behaviour changes but for the value of "to" in that line; tests pass.

--- a/internal/core/gateway/phase.go
+++ b/internal/core/gateway/phase.go
@@ -1,5 +1,8 @@
 package gateway
 
+// The phase of a request is changed here only: dispatchTo and passOnTo begin an attempt, the events that end one
+// end it, and what is decided then either dispatches the request again, queues it, or deletes it.
+
 // phase is the stage of a request's life cycle.
 type phase string
 
@@ -19,7 +22,7 @@
 // a second one would run the request beside the first.
 func (g *Gateway) startAttempt(r *request) bool {
 	if !g.isWaiting(r) {
-		g.logIllegal(r, "start an attempt of")
+		g.logIllegal(r, string(phaseRunning))
 		return false
 	}
 	r.phase = phaseRunning
@@ -33,8 +36,9 @@
 // mayHaveRun reports whether an attempt of the request may have run, or may still run.
 func (r *request) mayHaveRun() bool { return r.runs > 0 || r.phase == phaseRunning }
 
-// logIllegal reports a step that the request's phase does not allow and that is not taken.
-func (g *Gateway) logIllegal(r *request, step string) {
-	g.logRequest(r, "guard", "step is not allowed in this phase", "to", step, "phase", string(r.phase), "attempt", r.attempt,
+// logIllegal reports a step, to a phase or into the queue, that the request's phase does not allow and
+// that is not taken.
+func (g *Gateway) logIllegal(r *request, to string) {
+	g.logRequest(r, "guard", "step is not allowed in this phase", "to", to, "phase", string(r.phase), "attempt", r.attempt,
 		"known", g.requests[r.conn] == r)
 }
--- a/internal/wire/http1/grammar.go
+++ b/internal/wire/http1/grammar.go
@@ -42,8 +42,8 @@
 // headCheck checks the lines of a head, one after the other.
 type headCheck struct {
 	hasStatus bool
-	// isOld is set in HTTP/1.0, which has no chunks.
-	isOld                    bool
+	// isHTTP10 is set for HTTP/1.0, which has no chunks.
+	isHTTP10                 bool
 	fields, lengths, codings int
 }
 
@@ -66,7 +66,7 @@
 	if !isStatusBegin(line) {
 		return errors.Wrapf(errStatusLine, "got %q", excerpt(line))
 	}
-	c.isOld = line[len(statusPrefix)] == '0'
+	c.isHTTP10 = line[len(statusPrefix)] == '0'
 	status, _ := strconv.Atoi(string(line[statusBegin-3 : statusBegin]))
 	if status < minStatus || status > maxStatus || status == http.StatusSwitchingProtocols {
 		return errors.Wrapf(errStatusLine, "got status %03d", status)
@@ -97,7 +97,7 @@
 
 // framing checks that at most one field frames the body.
 func (c *headCheck) framing() error {
-	if c.lengths+c.codings > 1 || c.codings > 0 && c.isOld {
+	if c.lengths+c.codings > 1 || c.codings > 0 && c.isHTTP10 {
 		return errors.Wrapf(errFraming, "got %d lengths and %d codings", c.lengths, c.codings)
 	}
 	return nil
--- a/internal/wire/http1/head.go
+++ b/internal/wire/http1/head.go
@@ -37,13 +37,13 @@
 	}
 	// Bytes that are buffered are there without a read.
 	rest, _ := c.reader.Peek(c.reader.Buffered())
-	c.limit.again = append(head, rest...)
+	c.limit.pushedBack = append(head, rest...)
 	c.reader.Reset(c.limit)
 	return nil
 }
 
 // unread returns the number of bytes that have arrived on the connection and have not been read.
-func (c *conn) unread() int { return c.reader.Buffered() + len(c.limit.again) }
+func (c *conn) unread() int { return c.reader.Buffered() + len(c.limit.pushedBack) }
 
 const (
 	// freeHeadBytes is the size up to which a head is read without asking for memory.
--- a/internal/wire/http1/limit.go
+++ b/internal/wire/http1/limit.go
@@ -10,10 +10,10 @@
 // limitedReader bounds the bytes read from a connection while a limit is set.
 type limitedReader struct {
 	reader io.Reader
-	// again holds bytes that are read again, before those of the connection and outside the limit.
-	again     []byte
-	limited   bool
-	remaining int
+	// pushedBack holds bytes that are read again, before those of the connection and outside the limit.
+	pushedBack []byte
+	limited    bool
+	remaining  int
 }
 
 func (l *limitedReader) set(limit int) { l.limited, l.remaining = true, limit }
@@ -21,10 +21,10 @@
 
 // Read returns errHeadTooLarge when the limit is reached.
 func (l *limitedReader) Read(b []byte) (int, error) {
-	if len(l.again) > 0 {
-		n := copy(b, l.again)
-		if l.again = l.again[n:]; len(l.again) == 0 {
-			l.again = nil
+	if len(l.pushedBack) > 0 {
+		n := copy(b, l.pushedBack)
+		if l.pushedBack = l.pushedBack[n:]; len(l.pushedBack) == 0 {
+			l.pushedBack = nil
 		}
 		return n, nil
 	}
