--- a/review/rig-4/entries.go
+++ b/review/rig-4/entries.go
@@ -110,7 +110,7 @@
 		d.rec.printf("another writer replaces the entry %s by %v", leaving.id, entry)
 		d.store.put("servers", leaving.id, entry)
 	}
-	time.Sleep(1500 * time.Millisecond)
+	time.Sleep(700 * time.Millisecond)
 	d.rec.printf("replica   %s ends", leaving.id)
 	leaving.end()
 	attempts := c.wait()
--- a/review/rig-4/main.go
+++ b/review/rig-4/main.go
@@ -4,7 +4,11 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
 
 	"github.com/go-faster/errors"
 )
@@ -12,6 +16,9 @@
 // host is the host name of all routes.
 const host = "desk.example"
 
+// maxDuration bounds a case, the end of its processes included.
+const maxDuration = 110 * time.Second
+
 // deployment is a small deployment on loopback addresses.
 type deployment struct {
 	program, folder            string
@@ -20,6 +27,8 @@
 	storeAddress, cloudAddress string
 	runs                       *runs
 	nodes                      []*node
+	// end ends the nodes and removes their folder, once.
+	end func()
 	// trouble is set unless the disruption is left out.
 	trouble bool
 }
@@ -72,14 +81,9 @@
 		trouble: os.Getenv("TROUBLE") != "0",
 	}
 	d.storeAddress, d.cloudAddress = d.store.start(), serve(&cloud{rec: rec})
-	defer func() {
-		for _, n := range d.nodes {
-			n.kill()
-		}
-		if os.Getenv("KEEP") == "" {
-			_ = os.RemoveAll(folder)
-		}
-	}()
+	d.end = sync.OnceFunc(d.endNodes)
+	defer d.end()
+	go d.endEarly()
 	broken, err = run(d)
 	for _, line := range broken {
 		rec.printf("BROKEN    %s", line)
@@ -89,3 +93,23 @@
 	}
 	return broken, err
 }
+
+// endNodes ends all processes that the case has started.
+func (d *deployment) endNodes() {
+	for _, n := range d.nodes {
+		n.kill()
+	}
+	_ = os.RemoveAll(d.folder)
+}
+
+// endEarly ends a case that is interrupted or takes too long: it could not run.
+func (d *deployment) endEarly() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	select {
+	case <-signals:
+	case <-time.After(maxDuration):
+	}
+	d.end()
+	os.Exit(2)
+}
--- a/review/rig-4/node.go
+++ b/review/rig-4/node.go
@@ -15,8 +15,6 @@
 )
 
 const (
-	// grace is the time between SIGTERM and SIGKILL.
-	grace = 8 * time.Second
 	// readyTimeout bounds the start of a node.
 	readyTimeout = 20 * time.Second
 	// unreadyPoll is the interval between two questions whether a node is ready.
